--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,16 @@
+# Every library the workspace uses, from Debian's packages. Imported targets are
+# treated as system headers, so that their warnings stay out of our builds.
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED)
+find_package(fmt REQUIRED)
+find_package(absl REQUIRED)
+find_package(yaml-cpp REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(nng REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+if(NOT MEDLARWAY_FUZZ)
+    find_package(doctest REQUIRED)
+    find_package(rapidcheck REQUIRED)
+endif()
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,1 @@
+#include "daemon/version.h"
