settings, catalogue: read from YAML, every fault at once with line and column

Cause: nothing read what an operator writes; a file with several mistakes should take one look to mend. Change: library yaml (one map's fields with their faults), settings with a builder that checks the sections together, catalogue text and the check of services against each other and across shards; example files in etc/.

--- /dev/null
+++ b/src/settings/settings_builder.cpp
@@ -0,0 +1,162 @@
+#include "settings/settings_builder.h"
+
+#include "base/errors.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace medlarway
+{
+
+SettingsBuilder &SettingsBuilder::host(std::uint32_t address, AvailabilityZone zone, Position position)
+{
+    settings_.address = address;
+    settings_.zone = std::move(zone);
+    hostPosition_ = position;
+    hostGiven_ = true;
+    return *this;
+}
+
+SettingsBuilder &SettingsBuilder::dataThreads(std::uint32_t count)
+{
+    settings_.dataThreads = count;
+    return *this;
+}
+
+SettingsBuilder &SettingsBuilder::logLevel(LogLevel level)
+{
+    settings_.logLevel = level;
+    return *this;
+}
+
+SettingsBuilder &SettingsBuilder::operatorListen(const Endpoint &endpoint, Position position)
+{
+    settings_.operatorListen = endpoint;
+    operatorPosition_ = position;
+    return *this;
+}
+
+SettingsBuilder &SettingsBuilder::peers(PeerSettings peers, Position position)
+{
+    settings_.peers = std::move(peers);
+    peersPosition_ = position;
+    return *this;
+}
+
+SettingsBuilder &SettingsBuilder::peersFaulty()
+{
+    peersFaulty_ = true;
+    return *this;
+}
+
+SettingsBuilder &SettingsBuilder::platform(PlatformSettings platform, Position position)
+{
+    settings_.platform = std::move(platform);
+    platformPosition_ = position;
+    platformGiven_ = true;
+    return *this;
+}
+
+SettingsBuilder &SettingsBuilder::listedHost(ListedHost host, Position position)
+{
+    settings_.hosts.push_back(std::move(host));
+    listedPositions_.push_back(position);
+    return *this;
+}
+
+SettingsBuilder &SettingsBuilder::graces(const GraceSettings &graces)
+{
+    settings_.graces = graces;
+    return *this;
+}
+
+SettingsBuilder &SettingsBuilder::limits(const HostLimits &limits)
+{
+    settings_.limits = limits;
+    return *this;
+}
+
+Faults SettingsBuilder::faults() const
+{
+    Faults faults;
+    checkHost(faults);
+    checkPlatform(faults);
+    checkPeers(faults);
+    checkHosts(faults);
+    return faults;
+}
+
+// The host must know itself, since its peers know it by its address.
+void SettingsBuilder::checkHost(Faults &faults) const
+{
+    if (!hostGiven_) {
+        return;
+    }
+    if (settings_.address == 0) {
+        faults.push_back({hostPosition_, "host: 'address' must be the host's own address, not 0.0.0.0"});
+    }
+    if (settings_.zone.name.empty()) {
+        faults.push_back({hostPosition_, "host: 'zone' must not be empty"});
+    }
+}
+
+// One source of the catalogue: not none, and not two that could disagree.
+void SettingsBuilder::checkPlatform(Faults &faults) const
+{
+    const auto &platform = settings_.platform;
+    if (platformGiven_ && platform.catalogueFile.empty() == !platform.address.has_value()) {
+        faults.push_back({platformPosition_, "platform: give either 'catalogue-file' or 'address'"});
+    }
+}
+
+void SettingsBuilder::checkPeers(Faults &faults) const
+{
+    const auto &peers = settings_.peers;
+    if (!peers) {
+        return;
+    }
+    if (hostGiven_ && peers->listen.address != settings_.address) {
+        faults.push_back({peersPosition_, "peers: 'listen' must be at the host's own address"});
+    }
+    if (peers->listen == settings_.operatorListen) {
+        faults.push_back({operatorPosition_, "operator: 'listen' is the same as the peers' one"});
+    }
+    if (peers->keyFile.empty()) {
+        faults.push_back({peersPosition_, "peers: 'key-file' must not be empty"});
+    }
+}
+
+void SettingsBuilder::checkHosts(Faults &faults) const
+{
+    const auto &hosts = settings_.hosts;
+    if (!hosts.empty() && settings_.platform.address) {
+        faults.push_back({listedPositions_.front(), "hosts: the platform lists the hosts, leave the list out"});
+    }
+    if (!hosts.empty() && !settings_.peers && !peersFaulty_) {
+        faults.push_back({listedPositions_.front(), "hosts: a list of hosts needs 'peers'"});
+    }
+    for (std::size_t index = 0; index < hosts.size(); ++index) {
+        const auto sameAddress = [&host = hosts[index]](const ListedHost &other) { return other.address == host.address; };
+        if (std::any_of(hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(index), sameAddress)) {
+            faults.push_back({listedPositions_[index], fmt::format("hosts: {} is listed twice", endpointToString(hosts[index].address))});
+        }
+    }
+}
+
+Settings SettingsBuilder::build() const
+{
+    auto found = faults();
+    if (!hostGiven_) {
+        found.push_back({{}, "host: is missing"});
+    }
+    if (!platformGiven_) {
+        found.push_back({{}, "platform: is missing"});
+    }
+    if (!found.empty()) {
+        throw Error(ErrorKind::BadSettings, faultsToString(found));
+    }
+    return settings_;
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/yaml/fault.cpp
@@ -0,0 +1,39 @@
+#include "yaml/fault.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <tuple>
+
+namespace medlarway
+{
+
+void sortFaults(Faults &faults)
+{
+    const auto earlier = [](const Fault &one, const Fault &two) {
+        return std::tie(one.position.line, one.position.column) < std::tie(two.position.line, two.position.column);
+    };
+    std::stable_sort(faults.begin(), faults.end(), earlier);
+}
+
+std::string faultToString(const Fault &fault)
+{
+    if (fault.position.line == 0) {
+        return fault.text;
+    }
+    return fmt::format("{}:{}: {}", fault.position.line, fault.position.column, fault.text);
+}
+
+std::string faultsToString(const Faults &faults, const std::string &prefix)
+{
+    std::string text;
+    for (const auto &fault : faults) {
+        if (!text.empty()) {
+            text += '\n';
+        }
+        text += prefix;
+        text += faultToString(fault);
+    }
+    return text;
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/yaml/map_reader.cpp
@@ -0,0 +1,215 @@
+#include "yaml/map_reader.h"
+
+#include "yaml/scalars.h"
+
+#include <fmt/format.h>
+
+namespace medlarway
+{
+
+std::optional<YAML::Node> readDocument(std::string_view text, Faults &faults)
+{
+    try {
+        const auto documents = YAML::LoadAll(std::string(text));
+        if (documents.size() == 1) {
+            return documents.front();
+        }
+        faults.push_back({{1, 1}, fmt::format("must hold exactly one YAML document, holds {}", documents.size())});
+    } catch (const YAML::Exception &exception) {
+        const auto known = !exception.mark.is_null();
+        const auto position = known ? Position{exception.mark.line + 1, exception.mark.column + 1} : Position{};
+        faults.push_back({position, "is not valid YAML: " + exception.msg});
+    }
+    return std::nullopt;
+}
+
+Position positionOf(const YAML::Node &node)
+{
+    const auto mark = node.Mark();
+    return mark.is_null() ? Position{} : Position{mark.line + 1, mark.column + 1};
+}
+
+MapReader::MapReader(const YAML::Node &node, std::string what, Faults &faults)
+    : what_(std::move(what))
+    , position_(positionOf(node))
+    , faults_(&faults)
+{
+    if (!node.IsMap()) {
+        faults_->push_back({position_, what_ + " must be a map of keys and values"});
+        return;
+    }
+    for (const auto &entry : node) {
+        if (!entry.first.IsScalar()) {
+            faults_->push_back({positionOf(entry.first), what_ + ": a key must be a word"});
+            continue;
+        }
+        const auto &key = entry.first.Scalar();
+        const auto [place, added] = fields_.emplace(key, Field{entry.second, positionOf(entry.first)});
+        if (!added) {
+            const auto &first = place->second.keyPosition;
+            const auto text = fmt::format("{}: key '{}' is given twice, first at {}:{}", what_, key, first.line, first.column);
+            faults_->push_back({positionOf(entry.first), text});
+        }
+    }
+}
+
+MapReader::Field *MapReader::find(std::string_view key)
+{
+    const auto found = fields_.find(key);
+    if (found == fields_.end()) {
+        return nullptr;
+    }
+    found->second.known = true;
+    return &found->second;
+}
+
+Position MapReader::position(std::string_view key) const
+{
+    const auto found = fields_.find(key);
+    if (found == fields_.end()) {
+        return position_;
+    }
+    const auto value = positionOf(found->second.value);
+    return value.line == 0 ? found->second.keyPosition : value;
+}
+
+MapReader &MapReader::fault(std::string_view key, const std::string &text)
+{
+    faults_->push_back({position(key), fmt::format("{}: '{}' {}", what_, key, text)});
+    return *this;
+}
+
+MapReader &MapReader::require(std::string_view key)
+{
+    return find(key) == nullptr ? fault(key, "is missing") : *this;
+}
+
+bool MapReader::readScalar(std::string_view key, std::string &target)
+{
+    const auto *field = find(key);
+    if (field == nullptr) {
+        return false;
+    }
+    if (!field->value.IsScalar()) {
+        fault(key, "must be a single value");
+        return false;
+    }
+    target = field->value.Scalar();
+    return true;
+}
+
+MapReader &MapReader::text(std::string_view key, std::string &target)
+{
+    readScalar(key, target);
+    return *this;
+}
+
+MapReader &MapReader::flag(std::string_view key, bool &target)
+{
+    return choice<bool>(key, target, {{"true", true}, {"false", false}});
+}
+
+MapReader &MapReader::endpoint(std::string_view key, Endpoint &target)
+{
+    std::string word;
+    if (!readScalar(key, word)) {
+        return *this;
+    }
+    const auto parsed = parseEndpoint(word);
+    if (!parsed || parsed->port == 0) {
+        return fault(key, "must be an IPv4 address and a port from 1 to 65535, like 10.0.0.1:8080");
+    }
+    target = *parsed;
+    return *this;
+}
+
+MapReader &MapReader::address(std::string_view key, std::uint32_t &target)
+{
+    std::string word;
+    if (!readScalar(key, word)) {
+        return *this;
+    }
+    const auto parsed = parseAddress(word);
+    if (!parsed) {
+        return fault(key, "must be an IPv4 address, like 10.0.0.1");
+    }
+    target = *parsed;
+    return *this;
+}
+
+MapReader &MapReader::number(std::string_view key, std::uint32_t &target, Range<std::uint32_t> range)
+{
+    std::string word;
+    if (!readScalar(key, word)) {
+        return *this;
+    }
+    const auto parsed = parseNumber(word);
+    if (!parsed || *parsed < range.lowest || *parsed > range.highest) {
+        return fault(key, fmt::format("must be a whole number from {} to {}", range.lowest, range.highest));
+    }
+    target = static_cast<std::uint32_t>(*parsed);
+    return *this;
+}
+
+MapReader &MapReader::byteCount(std::string_view key, std::uint64_t &target, Range<std::uint64_t> range)
+{
+    std::string word;
+    if (!readScalar(key, word)) {
+        return *this;
+    }
+    const auto parsed = parseByteCount(word);
+    if (!parsed || *parsed < range.lowest || *parsed > range.highest) {
+        return fault(key, fmt::format("must be a number of bytes from {} to {}, like 64KiB or 16MiB", range.lowest, range.highest));
+    }
+    target = *parsed;
+    return *this;
+}
+
+MapReader &MapReader::duration(std::string_view key, Duration &target, Range<Duration> range)
+{
+    std::string word;
+    if (!readScalar(key, word)) {
+        return *this;
+    }
+    const auto parsed = parseDuration(word);
+    if (!parsed || *parsed < range.lowest || *parsed > range.highest) {
+        const auto lowest = durationToString(range.lowest);
+        return fault(key, fmt::format("must be a duration from {} to {}, like 500ms, 30s or 5m", lowest, durationToString(range.highest)));
+    }
+    target = *parsed;
+    return *this;
+}
+
+std::optional<YAML::Node> MapReader::node(std::string_view key)
+{
+    const auto *field = find(key);
+    return field == nullptr ? std::nullopt : std::optional(field->value);
+}
+
+std::vector<YAML::Node> MapReader::list(std::string_view key, std::size_t longest)
+{
+    const auto *field = find(key);
+    if (field == nullptr) {
+        return {};
+    }
+    if (!field->value.IsSequence()) {
+        fault(key, "must be a list");
+        return {};
+    }
+    if (field->value.size() > longest) {
+        fault(key, fmt::format("has {} entries, at most {} are allowed", field->value.size(), longest));
+        return {};
+    }
+    return {field->value.begin(), field->value.end()};
+}
+
+void MapReader::refuseUnknown()
+{
+    for (const auto &[key, field] : fields_) {
+        if (!field.known) {
+            faults_->push_back({field.keyPosition, fmt::format("{}: key '{}' is not known", what_, key)});
+        }
+    }
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/tests/settings/settings_test.cpp
@@ -0,0 +1,114 @@
+#include "base/errors.h"
+#include "settings/settings_builder.h"
+#include "settings/settings_file.h"
+
+#include <doctest/doctest.h>
+
+using namespace medlarway;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto kSmallest = R"(host: {address: 10.0.0.1, zone: cape-1}
+platform: {catalogue-file: catalogue.yaml}
+)";
+
+std::string faultsOf(const std::string &text)
+{
+    return faultsToString(parseSettings(text).faults);
+}
+
+} // namespace
+
+TEST_CASE("the settings of a host")
+{
+    SUBCASE("need only its address, its zone and a source of the catalogue")
+    {
+        const auto parsed = parseSettings(kSmallest);
+        CHECK(faultsToString(parsed.faults).empty());
+        REQUIRE(parsed.value);
+        CHECK(addressToString(parsed.value->address) == "10.0.0.1");
+        CHECK(parsed.value->zone.name == "cape-1");
+        CHECK(endpointToString(parsed.value->operatorListen) == "127.0.0.1:9900");
+        CHECK_FALSE(parsed.value->peers);
+    }
+    SUBCASE("take every key of the example file")
+    {
+        const auto settings = loadSettings("etc/medlarwayd.yaml");
+        CHECK(settings.platform.catalogueFile == "etc/catalogue.yaml");
+        REQUIRE(settings.peers);
+        CHECK(settings.peers->keyFile == "etc/peers.key");
+        CHECK(settings.hosts.size() == 2);
+        CHECK(settings.graces.feeds == Duration{5min});
+    }
+    SUBCASE("are refused with every fault at once, each with line and column")
+    {
+        const auto faults = faultsOf(R"(host: {address: 10.0.0.300, zone: cape-1}
+data-threads: 0
+colour: red
+peers:
+  listen: 10.0.0.1:7400
+  bytes-per-second: lots
+graces:
+  feeds: 5
+)");
+        CHECK(faults
+              == "1:1: settings: 'platform' is missing\n"
+                 "1:17: host: 'address' must be an IPv4 address, like 10.0.0.1\n"
+                 "2:15: settings: 'data-threads' must be a whole number from 1 to 64\n"
+                 "3:1: settings: key 'colour' is not known\n"
+                 "5:3: peers: 'key-file' is missing\n"
+                 "6:21: peers: 'bytes-per-second' must be a whole number from 1000 to 1000000000\n"
+                 "8:10: graces: 'feeds' must be a duration from 0s to 48h, like 500ms, 30s or 5m");
+    }
+    SUBCASE("are refused where the sections contradict each other")
+    {
+        CHECK(faultsOf("host: {address: 10.0.0.1, zone: a}\nplatform: {catalogue-file: c, address: 10.0.0.9:80}\n")
+              == "2:11: platform: give either 'catalogue-file' or 'address'");
+        CHECK(faultsOf(std::string(kSmallest) + "peers: {listen: 10.0.0.2:7400, key-file: k}\n")
+              == "3:17: peers: 'listen' must be at the host's own address");
+        CHECK(faultsOf(std::string(kSmallest) + "hosts:\n  - {address: 10.0.0.2:7400, zone: b}\n")
+              == "4:5: hosts: a list of hosts needs 'peers'");
+    }
+    SUBCASE("may be anything but settings")
+    {
+        for (const auto *text : {"", "- a\n", "42", "{", "host: []\nplatform: 3\npeers: [1]\nhosts: {}\n", "? [a]\n: b\n"}) {
+            CAPTURE(text);
+            CHECK_FALSE(parseSettings(text).value);
+        }
+    }
+}
+
+TEST_CASE("settings built by a program")
+{
+    SettingsBuilder builder;
+    builder.platform({"catalogue.yaml", std::nullopt});
+    SUBCASE("are refused without a host")
+    {
+        CHECK_THROWS_WITH_AS(builder.build(), "host: is missing", Error);
+    }
+    SUBCASE("are the same as those read from a file")
+    {
+        CHECK(builder.host(0x0a000001, {"cape-1"}).build() == parseSettings(kSmallest).value);
+    }
+}
+
+TEST_CASE("settings that are read again")
+{
+    auto running = parseSettings(std::string(kSmallest) + "peers: {listen: 10.0.0.1:7400, key-file: k}\n").value.value();
+    auto wanted = running;
+    SUBCASE("change log level, graces and budget in place")
+    {
+        wanted.logLevel = LogLevel::Debug;
+        wanted.graces.feeds = 1s;
+        wanted.peers->bytesPerSecond = 9999;
+        CHECK(changesThatNeedRestart(running, wanted).empty());
+    }
+    SUBCASE("name what needs a restart")
+    {
+        wanted.dataThreads = 4;
+        wanted.peers->keyFile = "other";
+        CHECK(changesThatNeedRestart(running, wanted) == std::vector<std::string>{"data-threads", "peers"});
+    }
+}
--- /dev/null
+++ b/tests/yaml/scalars_test.cpp
@@ -0,0 +1,61 @@
+#include "yaml/map_reader.h"
+#include "yaml/scalars.h"
+
+#include <doctest/doctest.h>
+
+using namespace medlarway;
+using namespace std::chrono_literals;
+
+TEST_CASE("a duration")
+{
+    SUBCASE("is read with its unit and written back")
+    {
+        CHECK(parseDuration("500ms") == Duration{500ms});
+        CHECK(parseDuration("30s") == Duration{30s});
+        CHECK(parseDuration("5m") == Duration{5min});
+        for (const auto *text : {"500ms", "30s", "5m", "2h", "1500ms"}) {
+            CHECK(durationToString(parseDuration(text).value()) == text);
+        }
+    }
+    SUBCASE("is refused without a unit, with a sign, a fraction or beyond a year")
+    {
+        for (const auto *text : {"", "5", "s", "-5s", "1.5s", "5 s", "5S", "99999999999999999999s", "99999999h"}) {
+            CAPTURE(text);
+            CHECK_FALSE(parseDuration(text));
+        }
+    }
+}
+
+TEST_CASE("a number of bytes")
+{
+    CHECK(parseByteCount("1000") == 1000);
+    CHECK(parseByteCount("64KiB") == 65536);
+    CHECK(parseByteCount("1GiB") == 1ULL << 30U);
+    CHECK_FALSE(parseByteCount("64KB"));
+    CHECK_FALSE(parseByteCount("18446744073709551615GiB"));
+}
+
+TEST_CASE("a document")
+{
+    Faults faults;
+    SUBCASE("that isn't YAML is one fault with its place")
+    {
+        CHECK_FALSE(readDocument("a: [1, 2\nb: 3\n", faults));
+        REQUIRE(faults.size() == 1);
+        CHECK(faults[0].position.line == 2);
+    }
+    SUBCASE("of none or two parts is refused")
+    {
+        CHECK_FALSE(readDocument("", faults));
+        CHECK_FALSE(readDocument("a: 1\n---\nb: 2\n", faults));
+        CHECK(faults.size() == 2);
+    }
+    SUBCASE("with one key twice names both places")
+    {
+        const auto node = readDocument("a: 1\nb: 2\na: 3\n", faults);
+        REQUIRE(node);
+        MapReader reader(*node, "map", faults);
+        REQUIRE(faults.size() == 1);
+        CHECK(faultToString(faults[0]) == "3:1: map: key 'a' is given twice, first at 1:1");
+    }
+}
