peering: typed messages, sealed envelopes, byte budget, nng and UDP sockets

Cause: the decision cores of several hosts need a carriage that authenticates, refuses repeats and stays within the control budget. Change: a CBOR codec that walks plain aggregates (Boost.PFR, nlohmann) with bounded nesting and checked ranges; an envelope with a keyed BLAKE2b tag over sender, receiver, boot, sequence, kind and body, replay window of 512, key rotation by two keys, and a way back for a host whose clock went back across a restart; a token bucket with four priorities; nng push/pull for control and UDP for relayed datagrams. Protobuf was weighed: generated code and a second set of types for each message, against one template here; an append-only array gives the same compatibility.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -21,6 +21,8 @@
         target_include_directories(${name}_test PRIVATE "${CMAKE_CURRENT_SOURCE_DIR}")
         target_link_libraries(${name}_test PRIVATE ${ARGN} doctest::doctest rapidcheck)
         add_test(NAME ${name} COMMAND ${name}_test WORKING_DIRECTORY "${PROJECT_SOURCE_DIR}")
+        # RapidCheck draws its seed from here, so that every run gives the same verdict.
+        set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=${MEDLARWAY_SEED}")
     endif()
 endfunction()
 
--- a/src/base/error_table.cpp
+++ b/src/base/error_table.cpp
@@ -44,6 +44,7 @@
     ErrorRow{ErrorKind::PeerMalformed, "peer-malformed", 0, None, Stream::Drop, Event::PeerMessageRefused, Counter::PeerMessagesRefused},
     ErrorRow{ErrorKind::PeerUnauthenticated, "peer-unauthenticated", 0, None, Stream::Drop, Event::PeerMessageRefused, Counter::PeerMessagesRefused},
     ErrorRow{ErrorKind::PeerReplayed, "peer-replayed", 0, None, Stream::Drop, Event::PeerMessageRefused, Counter::PeerMessagesRefused},
+    ErrorRow{ErrorKind::PeerStaleBoot, "peer-stale-boot", 0, None, Stream::Drop, Event::PeerMessageRefused, Counter::PeerMessagesRefused},
     ErrorRow{ErrorKind::PeerOversized, "peer-oversized", 0, None, Stream::Drop, Event::PeerMessageRefused, Counter::PeerMessagesRefused},
     ErrorRow{ErrorKind::PeerOverBudget, "peer-over-budget", 0, None, Stream::Drop, Event::PeerBudgetExceeded, Counter::PeerMessagesOverBudget},
     ErrorRow{ErrorKind::RingFull, "ring-full", 503, NotRun, Stream::Close, Event::RingFull, Counter::RingRefusals},
--- a/src/base/errors.h
+++ b/src/base/errors.h
@@ -51,6 +51,7 @@
     PeerMalformed,
     PeerUnauthenticated,
     PeerReplayed,
+    PeerStaleBoot,
     PeerOversized,
     PeerOverBudget,
     // The process itself.
--- /dev/null
+++ b/src/peering/byte_budget.cpp
@@ -0,0 +1,45 @@
+#include "peering/byte_budget.h"
+
+#include <algorithm>
+#include <array>
+
+namespace medlarway
+{
+
+namespace
+{
+
+// The share of the burst that a priority must leave to those above it.
+constexpr std::array<double, 3> kReserve{0.5, 0.25, 0.0};
+
+} // namespace
+
+ByteBudget::ByteBudget(std::uint64_t bytesPerSecond, std::uint64_t burstBytes)
+    : rate_(static_cast<double>(bytesPerSecond))
+    , burst_(static_cast<double>(burstBytes))
+    , available_(static_cast<double>(burstBytes))
+{
+}
+
+void ByteBudget::setRate(std::uint64_t bytesPerSecond)
+{
+    rate_ = static_cast<double>(bytesPerSecond);
+}
+
+bool ByteBudget::take(std::uint64_t bytes, MessagePriority priority, Time now)
+{
+    if (started_ && now > filled_) {
+        const std::chrono::duration<double> passed = now - filled_;
+        available_ = std::min(burst_, available_ + passed.count() * rate_);
+    }
+    started_ = true;
+    filled_ = std::max(filled_, now);
+    const auto size = static_cast<double>(bytes);
+    if (priority != MessagePriority::Critical && available_ - size < burst_ * kReserve.at(static_cast<std::size_t>(priority))) {
+        return false;
+    }
+    available_ -= size;
+    return true;
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/peering/codec.h
@@ -0,0 +1,198 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/errors.h"
+#include "base/host.h"
+#include "base/time.h"
+
+#include <boost/pfr.hpp>
+#include <concepts>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+namespace medlarway
+{
+
+/// Bytes of the largest encoded message.
+inline constexpr std::size_t kMaxMessageBytes = 64U << 10U;
+
+/// Nesting that a message may have; every message type is far flatter.
+inline constexpr int kMaxMessageDepth = 16;
+
+/// Reads CBOR whose nesting is bounded. Throws Error(PeerMalformed).
+nlohmann::json parseBoundedCbor(std::string_view bytes);
+
+/// Writes CBOR.
+std::string writeCbor(const nlohmann::json &value);
+
+/// The enumerations that messages carry state their highest value beside their definition or in
+/// the header that lists the messages, as an overload of highestOf that is found by its argument.
+template<class T>
+concept BoundedEnum = std::is_enum_v<T> && requires(T value)
+{
+    {
+        highestOf(value)
+        } -> std::same_as<T>;
+};
+
+namespace codec
+{
+
+template<class T>
+struct IsVector : std::false_type {
+};
+template<class T>
+struct IsVector<std::vector<T>> : std::true_type {
+};
+template<class T>
+struct IsOptional : std::false_type {
+};
+template<class T>
+struct IsOptional<std::optional<T>> : std::true_type {
+};
+
+[[noreturn]] void throwMalformed(const char *detail);
+
+template<class T>
+T readInteger(const nlohmann::json &value)
+{
+    if (value.is_number_unsigned()) {
+        const auto number = value.get<std::uint64_t>();
+        if (std::in_range<T>(number)) {
+            return static_cast<T>(number);
+        }
+    } else if (value.is_number_integer()) {
+        const auto number = value.get<std::int64_t>();
+        if (std::in_range<T>(number)) {
+            return static_cast<T>(number);
+        }
+    }
+    throwMalformed("an integer is missing or out of range");
+}
+
+constexpr std::uint64_t kEndpointMax = (1ULL << 48U) - 1;
+
+} // namespace codec
+
+/// Turns a message field into a CBOR value: an aggregate becomes an array of its fields in their order.
+template<class T>
+nlohmann::json toCborValue(const T &value)
+{
+    if constexpr (std::is_same_v<T, bool> || std::is_floating_point_v<T> || std::is_same_v<T, std::string> || std::integral<T>) {
+        return value;
+    } else if constexpr (std::is_enum_v<T>) {
+        return static_cast<std::uint64_t>(value);
+    } else if constexpr (std::is_same_v<T, HostId>) {
+        return value.value;
+    } else if constexpr (std::is_same_v<T, Endpoint>) {
+        return hostIdOf(value).value;
+    } else if constexpr (std::is_same_v<T, Duration>) {
+        return value.count();
+    } else if constexpr (codec::IsOptional<T>::value) {
+        return value ? toCborValue(*value) : nlohmann::json(nullptr);
+    } else if constexpr (codec::IsVector<T>::value) {
+        auto result = nlohmann::json::array();
+        for (const auto &element : value) {
+            result.push_back(toCborValue(element));
+        }
+        return result;
+    } else {
+        auto result = nlohmann::json::array();
+        boost::pfr::for_each_field(value, [&result](const auto &member) { result.push_back(toCborValue(member)); });
+        return result;
+    }
+}
+
+/// The reverse of toCborValue. Fields that an older sender doesn't know keep their defaults, fields
+/// that a newer sender adds at the end are passed over. Throws Error(PeerMalformed).
+template<class T>
+T fromCborValue(const nlohmann::json &value)
+{
+    if constexpr (std::is_same_v<T, bool>) {
+        if (!value.is_boolean()) {
+            codec::throwMalformed("a boolean is missing");
+        }
+        return value.template get<bool>();
+    } else if constexpr (std::is_floating_point_v<T>) {
+        if (!value.is_number()) {
+            codec::throwMalformed("a number is missing");
+        }
+        return value.template get<T>();
+    } else if constexpr (std::is_same_v<T, std::string>) {
+        if (!value.is_string()) {
+            codec::throwMalformed("a string is missing");
+        }
+        return value.template get<std::string>();
+    } else if constexpr (std::integral<T>) {
+        return codec::readInteger<T>(value);
+    } else if constexpr (std::is_enum_v<T>) {
+        static_assert(BoundedEnum<T>, "an enumeration in a message needs highestOf");
+        const auto number = codec::readInteger<std::underlying_type_t<T>>(value);
+        if (number < 0 || number > static_cast<std::underlying_type_t<T>>(highestOf(T{}))) {
+            codec::throwMalformed("an enumeration is out of range");
+        }
+        return static_cast<T>(number);
+    } else if constexpr (std::is_same_v<T, HostId> || std::is_same_v<T, Endpoint>) {
+        const auto number = codec::readInteger<std::uint64_t>(value);
+        if (number > codec::kEndpointMax) {
+            codec::throwMalformed("an endpoint is out of range");
+        }
+        if constexpr (std::is_same_v<T, HostId>) {
+            return HostId{number};
+        } else {
+            return endpointOf(HostId{number});
+        }
+    } else if constexpr (std::is_same_v<T, Duration>) {
+        return Duration{codec::readInteger<Duration::rep>(value)};
+    } else if constexpr (codec::IsOptional<T>::value) {
+        if (value.is_null()) {
+            return std::nullopt;
+        }
+        return fromCborValue<typename T::value_type>(value);
+    } else if constexpr (codec::IsVector<T>::value) {
+        if (!value.is_array()) {
+            codec::throwMalformed("a list is missing");
+        }
+        T result;
+        result.reserve(value.size());
+        for (const auto &element : value) {
+            result.push_back(fromCborValue<typename T::value_type>(element));
+        }
+        return result;
+    } else {
+        if (!value.is_array()) {
+            codec::throwMalformed("a record is missing");
+        }
+        T result{};
+        std::size_t index = 0;
+        boost::pfr::for_each_field(result, [&value, &index](auto &member) {
+            if (index < value.size()) {
+                member = fromCborValue<std::remove_reference_t<decltype(member)>>(value[index]);
+            }
+            ++index;
+        });
+        return result;
+    }
+}
+
+/// Encodes an aggregate message as a CBOR array.
+template<class T>
+std::string encodeMessage(const T &message)
+{
+    return writeCbor(toCborValue(message));
+}
+
+/// Decodes what encodeMessage wrote. Throws Error(PeerMalformed).
+template<class T>
+T decodeMessage(std::string_view bytes)
+{
+    return fromCborValue<T>(parseBoundedCbor(bytes));
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/peering/control_socket.cpp
@@ -0,0 +1,133 @@
+#include "peering/control_socket.h"
+
+#include "base/errors.h"
+#include "peering/codec.h"
+#include "peering/envelope.h"
+
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
+namespace medlarway
+{
+
+namespace
+{
+
+constexpr int kSendQueueMessages = 64;
+constexpr int kReceiveQueueMessages = 256;
+constexpr nng_duration kReconnectMinMilliseconds = 50;
+constexpr nng_duration kReconnectMaxMilliseconds = 1000;
+constexpr nng_duration kReceiveTimeoutMilliseconds = 100;
+
+std::string urlOf(const Endpoint &endpoint)
+{
+    return "tcp://" + endpointToString(endpoint);
+}
+
+nng_socket socketOf(std::uint32_t id)
+{
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    socket.id = id;
+    return socket;
+}
+
+} // namespace
+
+ControlSocket::ControlSocket(const Endpoint &listen, Receiver receiver)
+    : receiver_(std::move(receiver))
+{
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    if (nng_pull0_open(&socket) != 0) {
+        throw Error(ErrorKind::Internal, "the peers' socket can't be opened");
+    }
+    nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, kMaxMessageBytes + kEnvelopeBytes);
+    nng_socket_set_int(socket, NNG_OPT_RECVBUF, kReceiveQueueMessages);
+    nng_socket_set_ms(socket, NNG_OPT_RECVTIMEO, kReceiveTimeoutMilliseconds);
+    if (const int failure = nng_listen(socket, urlOf(listen).c_str(), nullptr, 0); failure != 0) {
+        nng_close(socket);
+        throw Error(ErrorKind::AddressTaken, "peers' port " + endpointToString(listen) + ": " + nng_strerror(failure));
+    }
+    pull_ = socket.id;
+    thread_ = std::thread([this] { receiveLoop(); });
+}
+
+ControlSocket::~ControlSocket()
+{
+    stopping_ = true;
+    thread_.join();
+    nng_close(socketOf(pull_));
+    for (const auto &[host, peer] : peers_) {
+        nng_close(socketOf(peer.socket));
+    }
+}
+
+void ControlSocket::receiveLoop()
+{
+    while (!stopping_) {
+        nng_msg *message = nullptr;
+        const int result = nng_recvmsg(socketOf(pull_), &message, 0);
+        if (result == NNG_ECLOSED) {
+            return;
+        }
+        if (result != 0) {
+            continue;
+        }
+        receiver_(std::string_view(static_cast<const char *>(nng_msg_body(message)), nng_msg_len(message)));
+        nng_msg_free(message);
+    }
+}
+
+void ControlSocket::closeOldest()
+{
+    const auto oldest = byUse_.back();
+    nng_close(socketOf(peers_.at(oldest).socket));
+    peers_.erase(oldest);
+    byUse_.pop_back();
+}
+
+// The socket that sends to the host, dialled without waiting. nng keeps reconnecting for
+// as long as the socket is open, so a host that was down is reached again by itself.
+std::uint32_t ControlSocket::socketFor(HostId to)
+{
+    if (const auto found = peers_.find(to); found != peers_.end()) {
+        byUse_.splice(byUse_.begin(), byUse_, found->second.use);
+        return found->second.socket;
+    }
+    if (peers_.size() >= kMaxOpenPeers) {
+        closeOldest();
+    }
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    if (nng_push0_open(&socket) != 0) {
+        return 0;
+    }
+    nng_socket_set_int(socket, NNG_OPT_SENDBUF, kSendQueueMessages);
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, kReconnectMinMilliseconds);
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, kReconnectMaxMilliseconds);
+    if (nng_dial(socket, urlOf(endpointOf(to)).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) {
+        nng_close(socket);
+        return 0;
+    }
+    byUse_.push_front(to);
+    peers_.emplace(to, Peer{socket.id, byUse_.begin()});
+    return socket.id;
+}
+
+bool ControlSocket::send(HostId to, std::string_view sealed)
+{
+    const auto socket = socketFor(to);
+    if (socket == 0) {
+        return false;
+    }
+    nng_msg *message = nullptr;
+    if (nng_msg_alloc(&message, 0) != 0) {
+        return false;
+    }
+    if (nng_msg_append(message, sealed.data(), sealed.size()) != 0 || nng_sendmsg(socketOf(socket), message, NNG_FLAG_NONBLOCK) != 0) {
+        nng_msg_free(message);
+        return false;
+    }
+    return true;
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/peering/relay_socket.cpp
@@ -0,0 +1,62 @@
+#include "peering/relay_socket.h"
+
+#include "base/errors.h"
+
+#include <boost/asio/buffer.hpp>
+
+namespace medlarway
+{
+
+namespace
+{
+
+using boost::asio::ip::udp;
+
+constexpr int kSocketBufferBytes = 4 << 20;
+
+udp::endpoint asioEndpoint(const Endpoint &endpoint)
+{
+    return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
+}
+
+} // namespace
+
+RelaySocket::RelaySocket(boost::asio::io_context &context, const Endpoint &listen, Receiver receiver)
+    : receiver_(std::move(receiver))
+    , socket_(context)
+{
+    boost::system::error_code error;
+    socket_.open(udp::v4(), error);
+    socket_.bind(asioEndpoint(listen), error);
+    if (error) {
+        throw Error(ErrorKind::AddressTaken, "peers' datagram port " + endpointToString(listen) + ": " + error.message());
+    }
+    socket_.non_blocking(true);
+    socket_.set_option(boost::asio::socket_base::receive_buffer_size(kSocketBufferBytes), error);
+    receiveNext();
+}
+
+void RelaySocket::receiveNext()
+{
+    socket_.async_receive_from(boost::asio::buffer(buffer_), sender_, [this](const boost::system::error_code &error, std::size_t size) {
+        if (error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!error && size <= kMaxRelayBytes) {
+            receiver_(std::string_view(buffer_.data(), size));
+        }
+        receiveNext();
+    });
+}
+
+bool RelaySocket::send(HostId to, std::string_view sealed)
+{
+    if (sealed.size() > kMaxRelayBytes) {
+        return false;
+    }
+    boost::system::error_code error;
+    socket_.send_to(boost::asio::buffer(sealed.data(), sealed.size()), asioEndpoint(endpointOf(to)), 0, error);
+    return !error;
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/tests/peering/peering_test.cpp
@@ -0,0 +1,274 @@
+#include "base/errors.h"
+#include "peering/byte_budget.h"
+#include "peering/codec.h"
+#include "peering/control_socket.h"
+#include "peering/envelope.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <condition_variable>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace medlarway;
+
+namespace
+{
+
+enum class Colour : std::uint8_t {
+    Red,
+    Green,
+};
+
+constexpr Colour highestOf(Colour /*type*/)
+{
+    return Colour::Green;
+}
+
+struct Inner {
+    std::string text;
+    std::optional<std::uint32_t> number;
+    friend bool operator==(const Inner &, const Inner &) = default;
+};
+
+struct Sample {
+    HostId host;
+    Endpoint endpoint;
+    Colour colour = Colour::Red;
+    Duration left{};
+    bool flag = false;
+    std::int64_t amount = 0;
+    std::vector<Inner> parts;
+    friend bool operator==(const Sample &, const Sample &) = default;
+};
+
+struct LongerSample {
+    HostId host;
+    Endpoint endpoint;
+    Colour colour = Colour::Red;
+    Duration left{};
+    bool flag = false;
+    std::int64_t amount = 0;
+    std::vector<Inner> parts;
+    std::string added = "default";
+};
+
+Sample sample()
+{
+    return Sample{HostId{77}, Endpoint{0x7f000001, 80},         Colour::Green, std::chrono::seconds{3}, true,
+                  -5,         {{"\xff\x01", 4}, {"", std::nullopt}}};
+}
+
+ErrorKind kindOfFailure(const std::function<void()> &action)
+{
+    try {
+        action();
+    } catch (const Error &error) {
+        return error.kind();
+    }
+    return ErrorKind::Count;
+}
+
+constexpr HostId kAlice{1};
+constexpr HostId kBob{2};
+
+PeerKey keyOf(unsigned char byte)
+{
+    PeerKey key{};
+    key.fill(byte);
+    return key;
+}
+
+Endpoint freeEndpoint()
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
+    return Endpoint{0x7f000001, acceptor.local_endpoint().port()};
+}
+
+} // namespace
+
+TEST_CASE("a message")
+{
+    SUBCASE("is decoded as it was encoded")
+    {
+        CHECK(decodeMessage<Sample>(encodeMessage(sample())) == sample());
+    }
+    SUBCASE("of a newer sender is read by an older receiver, and the other way round")
+    {
+        LongerSample longer;
+        longer.amount = 9;
+        longer.added = "new";
+        CHECK(decodeMessage<Sample>(encodeMessage(longer)).amount == 9);
+        CHECK(decodeMessage<LongerSample>(encodeMessage(sample())).added == "default");
+    }
+    SUBCASE("with an enumeration out of range is refused")
+    {
+        auto value = toCborValue(sample());
+        value[2] = 2;
+        CHECK(kindOfFailure([&] { decodeMessage<Sample>(writeCbor(value)); }) == ErrorKind::PeerMalformed);
+    }
+    SUBCASE("with an integer that the field can't hold is refused")
+    {
+        auto value = toCborValue(sample());
+        value[6][0][1] = 1ULL << 32U;
+        CHECK(kindOfFailure([&] { decodeMessage<Sample>(writeCbor(value)); }) == ErrorKind::PeerMalformed);
+    }
+    SUBCASE("nested deeper than any real one is refused and does not exhaust the stack")
+    {
+        const std::string nested(kMaxMessageBytes - 1, '\x81');
+        CHECK(kindOfFailure([&] { decodeMessage<Sample>(nested); }) == ErrorKind::PeerMalformed);
+    }
+    SUBCASE("of random bytes is refused or read, and nothing else happens")
+    {
+        const bool held = rc::check("random bytes", [](const std::string &bytes) {
+            const auto kind = kindOfFailure([&] { decodeMessage<Sample>(bytes); });
+            RC_ASSERT(kind == ErrorKind::Count || kind == ErrorKind::PeerMalformed);
+        });
+        CHECK(held);
+    }
+}
+
+TEST_CASE("an envelope")
+{
+    Envelope alice(kAlice, 1, PeerKeys{keyOf(1), std::nullopt});
+    Envelope bob(kBob, 1, PeerKeys{keyOf(1), std::nullopt});
+    const auto sealed = alice.seal(kBob, 3, "hello");
+
+    SUBCASE("is opened by its receiver")
+    {
+        const auto opened = bob.open(sealed);
+        CHECK(opened.from == kAlice);
+        CHECK(opened.kind == 3);
+        CHECK(opened.body == "hello");
+
+        SUBCASE("and once only")
+        {
+            CHECK(kindOfFailure([&] { bob.open(sealed); }) == ErrorKind::PeerReplayed);
+        }
+    }
+    SUBCASE("is refused by any other host")
+    {
+        Envelope carol(HostId{3}, 1, PeerKeys{keyOf(1), std::nullopt});
+        CHECK(kindOfFailure([&] { carol.open(sealed); }) == ErrorKind::PeerUnauthenticated);
+    }
+    SUBCASE("is refused with any bit changed")
+    {
+        for (std::size_t bit = 0; bit < sealed.size() * 8; ++bit) {
+            auto changed = sealed;
+            changed[bit / 8] = static_cast<char>(changed[bit / 8] ^ (1U << (bit % 8)));
+            CAPTURE(bit);
+            CHECK(kindOfFailure([&] { bob.open(changed); }) != ErrorKind::Count);
+        }
+    }
+    SUBCASE("out of order is taken within the window")
+    {
+        const auto second = alice.seal(kBob, 3, "second");
+        CHECK(bob.open(second).body == "second");
+        CHECK(bob.open(sealed).body == "hello");
+    }
+    SUBCASE("of an earlier boot is told from a repeat, so that its sender can be told")
+    {
+        Envelope restarted(kAlice, 2, PeerKeys{keyOf(1), std::nullopt});
+        bob.open(restarted.seal(kBob, 3, "again"));
+        CHECK(kindOfFailure([&] { bob.open(sealed); }) == ErrorKind::PeerStaleBoot);
+        CHECK(bob.knownBoot(kAlice) == 2);
+
+        SUBCASE("and a host whose clock went back takes a later number and is heard again")
+        {
+            alice.raiseBoot(bob.knownBoot(kAlice));
+            CHECK(bob.open(alice.seal(kBob, 3, "heard")).body == "heard");
+        }
+    }
+    SUBCASE("survives the rotation of the key, host by host")
+    {
+        bob.setKeys(PeerKeys{keyOf(2), keyOf(1)});
+        CHECK(bob.open(sealed).body == "hello");
+        alice.setKeys(PeerKeys{keyOf(2), keyOf(1)});
+        CHECK(alice.open(bob.seal(kAlice, 3, "back")).body == "back");
+        bob.setKeys(PeerKeys{keyOf(2), std::nullopt});
+        CHECK(bob.open(alice.seal(kBob, 3, "new")).body == "new");
+    }
+}
+
+TEST_CASE("a replay window")
+{
+    SUBCASE("agrees with a set of all numbers seen, for any order")
+    {
+        const bool held = rc::check("window against set", [](const std::vector<std::uint16_t> &numbers) {
+            ReplayWindow window;
+            std::set<std::uint64_t> seen;
+            std::uint64_t newest = 0;
+            for (const std::uint64_t number : numbers) {
+                const bool tooOld = newest >= ReplayWindow::kWidth && number <= newest - ReplayWindow::kWidth;
+                const bool expected = number != 0 && !tooOld && !seen.contains(number);
+                RC_ASSERT(window.accept(1, number) == expected);
+                if (expected) {
+                    seen.insert(number);
+                    newest = std::max(newest, number);
+                }
+            }
+        });
+        CHECK(held);
+    }
+}
+
+TEST_CASE("the byte budget")
+{
+    ByteBudget budget(100, 1000);
+    Time now{};
+    SUBCASE("drops the least important first")
+    {
+        CHECK(budget.take(450, MessagePriority::Low, now));
+        CHECK_FALSE(budget.take(100, MessagePriority::Low, now));
+        CHECK(budget.take(200, MessagePriority::Normal, now));
+        CHECK_FALSE(budget.take(150, MessagePriority::Normal, now));
+        CHECK(budget.take(350, MessagePriority::High, now));
+        CHECK_FALSE(budget.take(1, MessagePriority::High, now));
+        CHECK(budget.take(1, MessagePriority::Critical, now));
+    }
+    SUBCASE("lets no more through than its rate over a long run")
+    {
+        std::uint64_t sent = 0;
+        for (int i = 0; i < 100000; ++i) {
+            now += std::chrono::milliseconds{1};
+            sent += budget.take(10, MessagePriority::High, now) ? 10 : 0;
+        }
+        CHECK(sent <= 100 * 100 + 1000);
+        CHECK(sent >= 100 * 100);
+    }
+}
+
+TEST_CASE("a control socket")
+{
+    std::mutex mutex;
+    std::condition_variable arrived;
+    std::vector<std::string> messages;
+    const auto endpoint = freeEndpoint();
+    ControlSocket receiver(endpoint, [&](std::string_view bytes) {
+        const std::lock_guard lock(mutex);
+        messages.emplace_back(bytes);
+        arrived.notify_all();
+    });
+    SUBCASE("carries a message to another")
+    {
+        ControlSocket sender(freeEndpoint(), [](std::string_view) {});
+        CHECK(sender.send(hostIdOf(endpoint), "over"));
+        std::unique_lock lock(mutex);
+        CHECK(arrived.wait_for(lock, std::chrono::seconds{10}, [&] { return messages == std::vector<std::string>{"over"}; }));
+    }
+    SUBCASE("never waits for a host that is not there, and keeps a bounded number of them")
+    {
+        ControlSocket sender(freeEndpoint(), [](std::string_view) {});
+        for (std::uint16_t port = 1; port < 2 * kMaxOpenPeers; ++port) {
+            sender.send(hostIdOf(Endpoint{0x7f000001, port}), "lost");
+        }
+        CHECK(sender.openPeers() == kMaxOpenPeers);
+    }
+    SUBCASE("refuses an address that is taken")
+    {
+        CHECK(kindOfFailure([&] { ControlSocket(endpoint, [](std::string_view) {}); }) == ErrorKind::AddressTaken);
+    }
+}
