balance: a dispatcher with own counts, deadline queue and retries by class

Cause: the data path is written against dispatcher.h, which had no implementation. Additive to dispatcher.h: options, notices for the log, report() for health endpoints. Peers' messages have no effect yet.

--- /dev/null
+++ b/src/balance/dispatcher.cpp
@@ -0,0 +1,161 @@
+#include "balance/dispatcher.h"
+
+#include "balance/connections.h"
+#include "balance/dispatcher_impl.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace medlarway
+{
+
+Dispatcher::Impl::Impl(Service newService, HostId newSelf, AvailabilityZone newZone, std::uint64_t seed,
+                       const DispatcherOptions &newOptions)
+    : service(std::move(newService))
+    , self(newSelf)
+    , zone(std::move(newZone))
+    , options(newOptions)
+    , random(seed)
+    , times(service.limits.shortBound)
+{
+    upstreams.setService(service, self);
+}
+
+std::size_t Dispatcher::Impl::hosts() const
+{
+    const auto present
+        = std::count_if(view.members.begin(), view.members.end(), [this](const Member &member) { return member.id != self; });
+    return static_cast<std::size_t>(present) + 1;
+}
+
+Dispatcher::Dispatcher(Service service, HostId self, AvailabilityZone zone, std::uint64_t seed, const DispatcherOptions &options)
+    : impl_(std::make_unique<Impl>(std::move(service), self, std::move(zone), seed, options))
+{
+}
+
+Dispatcher::~Dispatcher() = default;
+Dispatcher::Dispatcher(Dispatcher &&) noexcept = default;
+Dispatcher &Dispatcher::operator=(Dispatcher &&) noexcept = default;
+
+void Dispatcher::setService(Service service, Time now, Decisions &decisions)
+{
+    impl_->service = std::move(service);
+    impl_->times.setShortBound(impl_->service.limits.shortBound);
+    impl_->upstreams.setService(impl_->service, impl_->self);
+    impl_->pump(now, decisions);
+}
+
+void Dispatcher::setView(const View &view, Time now, Decisions &decisions)
+{
+    impl_->view = view;
+    impl_->pump(now, decisions);
+}
+
+void Dispatcher::arrive(const Request &request, Time now, Decisions &decisions)
+{
+    Impl &impl = *impl_;
+    impl.budget.earn();
+    const bool isLong = impl.times.isLong(request.path);
+    if (!isLong) {
+        impl.lastShort = now;
+    }
+    impl.enqueue(Waiting{.request = request,
+                         .latestStart = request.deadline - impl.times.least(request.path),
+                         .ready = now,
+                         .avoid = {},
+                         .isLong = isLong},
+                 now, decisions);
+    impl.pump(now, decisions);
+}
+
+void Dispatcher::finish(RequestId request, AttemptResult result, Duration retryAfter, Time now, Decisions &decisions)
+{
+    Impl &impl = *impl_;
+    const auto found = impl.running.find(request);
+    if (found == impl.running.end()) {
+        return;
+    }
+    const Running run = found->second;
+    impl.running.erase(found);
+    impl.release(run, now);
+    impl.learnFrom(run, result, retryAfter, now, decisions);
+    impl.retryOrRefuse(run, result, now, decisions);
+    impl.upstreams.forgetUnused();
+    impl.pump(now, decisions);
+}
+
+void Dispatcher::cancel(RequestId request, Time now, Decisions &decisions)
+{
+    impl_->queue.remove(request);
+    impl_->pump(now, decisions);
+}
+
+void Dispatcher::tick(Time now, Decisions &decisions)
+{
+    impl_->pump(now, decisions);
+}
+
+// While something waits the dispatcher looks again soon, since an upstream may come back
+// from an ejection or a Retry-After at any time.
+std::optional<Time> Dispatcher::nextTick() const
+{
+    constexpr Duration kPoll = std::chrono::milliseconds{20};
+    const std::optional<Time> next = impl_->queue.nextEvent(impl_->lastNow);
+    if (!next) {
+        return std::nullopt;
+    }
+    return std::min(*next, impl_->lastNow + kPoll);
+}
+
+void Dispatcher::receive(HostId /*from*/, const SlotMessage & /*message*/, Time now, Decisions &decisions)
+{
+    impl_->pump(now, decisions);
+}
+
+void Dispatcher::report(const Endpoint &upstream, bool healthy, Time now)
+{
+    UpstreamState *state = impl_->upstreams.find(upstream);
+    if (state == nullptr) {
+        return;
+    }
+    state->reportedUnhealthy = !healthy;
+    state->reportedAt = now;
+}
+
+std::optional<Endpoint> Dispatcher::openConnection(std::uint64_t hint, Time now)
+{
+    const std::uint32_t share = connectionShare(impl_->service.limits.connectionsPerUpstream, impl_->hosts());
+    const std::optional<std::size_t> chosen = rendezvousUpstream(impl_->upstreams, hint, share, now);
+    if (!chosen) {
+        return std::nullopt;
+    }
+    UpstreamState &state = impl_->upstreams.all()[*chosen];
+    ++state.connections;
+    return state.upstream.address;
+}
+
+// A connection that was reached counts as an answer: it clears an ejection.
+void Dispatcher::closeConnection(const Endpoint &upstream, bool failed, Time now)
+{
+    UpstreamState *state = impl_->upstreams.find(upstream);
+    if (state == nullptr) {
+        return;
+    }
+    if (state->connections > 0) {
+        --state->connections;
+    }
+    if (failed) {
+        const bool mayEject = mayEjectMore(impl_->upstreams.ejected(now), impl_->upstreams.listed());
+        noteFailure(state->outlier, mayEject, impl_->random, now);
+    } else {
+        noteAnswer(state->outlier, now);
+    }
+    impl_->upstreams.forgetUnused();
+}
+
+std::size_t Dispatcher::openRequests() const
+{
+    return impl_->queue.size() + impl_->running.size();
+}
+
+} // namespace medlarway
--- a/src/balance/dispatcher.h
+++ b/src/balance/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balance/options.h"
 #include "base/errors.h"
 #include "base/host.h"
 #include "base/outbox.h"
@@ -59,11 +60,18 @@
     std::uint64_t amount = 0; ///< meaning by kind
 };
 
+/// Something an operator should see in the log.
+struct Notice {
+    Event event = Event::UpstreamEjected;
+    Endpoint upstream;
+};
+
 /// What the dispatcher wants done, in order. The caller empties it.
 struct Decisions {
     std::vector<Start> starts;
     std::vector<Refusal> refusals;
     Outbox<SlotMessage> messages;
+    std::vector<Notice> notices;
 };
 
 /// Decides, for one service on one host, which request gets a slot of which upstream, what waits,
@@ -71,7 +79,7 @@
 class Dispatcher
 {
 public:
-    Dispatcher(Service service, HostId self, AvailabilityZone zone, std::uint64_t seed);
+    Dispatcher(Service service, HostId self, AvailabilityZone zone, std::uint64_t seed, const DispatcherOptions &options = {});
     ~Dispatcher();
     Dispatcher(Dispatcher &&) noexcept;
     Dispatcher &operator=(Dispatcher &&) noexcept;
@@ -101,6 +109,9 @@
     /// A message of another host's dispatcher of the same service.
     void receive(HostId from, const SlotMessage &message, Time now, Decisions &decisions);
 
+    /// What a health or load endpoint says of an upstream. Believed only where own requests don't contradict it.
+    void report(const Endpoint &upstream, bool healthy, Time now);
+
     /// Picks an upstream for a long-lived connection or datagram flow; nullopt where none may take one.
     /// The same hint gives the same upstream on every host while the list of upstreams is the same.
     std::optional<Endpoint> openConnection(std::uint64_t hint, Time now);
--- /dev/null
+++ b/src/balance/placing.cpp
@@ -0,0 +1,163 @@
+#include "balance/dispatcher_impl.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace medlarway
+{
+
+namespace
+{
+
+/// Whether the caller has its fair share of the queue already.
+bool overShare(const WaitQueue &queue, std::uint64_t caller, std::size_t limit)
+{
+    const std::size_t callers = std::max<std::size_t>(queue.callers(), 1);
+    return queue.ofCaller(caller) >= std::max<std::size_t>(limit / callers, 1);
+}
+
+} // namespace
+
+ChoiceRules Dispatcher::Impl::rules(Time now) const
+{
+    constexpr Duration kShortQuiet = std::chrono::seconds{2};
+    const bool shortWaits = queue.size(false) > 0;
+    return ChoiceRules{.self = self,
+                       .zone = zone,
+                       .slotsPerUpstream = service.limits.slotsPerUpstream,
+                       .options = options,
+                       .longMayTakeAll = !shortWaits && (!lastShort || now - *lastShort > kShortQuiet)};
+}
+
+// The work ahead in the same lane, spread over this host's share of the slots.
+Duration Dispatcher::Impl::expectedWait(bool isLong, Time latestStart) const
+{
+    const std::size_t slots = upstreams.listed() * service.limits.slotsPerUpstream;
+    const std::size_t share = std::max<std::size_t>({slots / hosts(), running.size(), 1});
+    const std::size_t ahead = queue.ahead(isLong, latestStart);
+    return times.mean() * static_cast<Duration::rep>(ahead) / static_cast<Duration::rep>(share);
+}
+
+std::optional<ErrorKind> Dispatcher::Impl::refusalFor(const Waiting &waiting, Time now) const
+{
+    // Step 1. Nothing in the catalogue may take it.
+    const auto usable = [](const UpstreamState &state) { return state.listed && !state.upstream.draining; };
+    if (std::none_of(upstreams.all().begin(), upstreams.all().end(), usable)) {
+        return ErrorKind::NoUpstream;
+    }
+
+    // Step 2. It can't finish in time even if it started now.
+    if (waiting.latestStart < now) {
+        return waiting.attempts > 0 ? waiting.lastFailure : ErrorKind::DeadlineUnreachable;
+    }
+
+    // Step 3. The work ahead of it leaves no time.
+    if (options.earlyRefusal && now + expectedWait(waiting.isLong, waiting.latestStart) > waiting.latestStart) {
+        return ErrorKind::DeadlineUnreachable;
+    }
+    return std::nullopt;
+}
+
+void Dispatcher::Impl::enqueue(const Waiting &waiting, Time now, Decisions &decisions)
+{
+    // Step 1. What has no chance is refused at once, while the caller can still go elsewhere.
+    if (const std::optional<ErrorKind> kind = refusalFor(waiting, now)) {
+        refuse(waiting.request.id, *kind, expectedWait(waiting.isLong, waiting.latestStart), decisions);
+        return;
+    }
+
+    // Step 2. A full queue: a caller with its fair share waiting gets no more; else the busiest
+    // caller gives up the request that would start last.
+    if (queue.size() >= service.limits.queueLength && queue.size() > 0) {
+        if (overShare(queue, waiting.request.caller, service.limits.queueLength)) {
+            const ErrorKind kind = queue.callers() > 1 ? ErrorKind::CallerOverShare : ErrorKind::QueueFull;
+            refuse(waiting.request.id, kind, times.mean(), decisions);
+            return;
+        }
+        const RequestId victim = queue.lastOfBusiestCaller()->request.id;
+        queue.remove(victim);
+        refuse(victim, ErrorKind::CallerOverShare, times.mean(), decisions);
+    }
+    queue.push(waiting);
+}
+
+void Dispatcher::Impl::pump(Time now, Decisions &decisions)
+{
+    lastNow = now;
+    noteAges(now);
+
+    // Step 1. Requests that are too late give way.
+    for (const Waiting &late : queue.expire(now)) {
+        const ErrorKind kind = late.attempts > 0 ? late.lastFailure : ErrorKind::DeadlineUnreachable;
+        refuse(late.request.id, kind, times.mean(), decisions);
+    }
+
+    // Step 2. The lane whose first request must start earlier goes first; where it finds no slot
+    // the other may.
+    bool placed = true;
+    while (placed) {
+        const Waiting *shortOne = queue.first(false, now);
+        const Waiting *longOne = queue.first(true, now);
+        const bool longFirst = longOne != nullptr && (shortOne == nullptr || longOne->latestStart < shortOne->latestStart);
+        placed = placeFirst(longFirst, now, decisions) || placeFirst(!longFirst, now, decisions);
+    }
+
+    // Step 3. A queue of length zero stands for no waiting at all.
+    while (queue.size() > service.limits.queueLength) {
+        const RequestId victim = queue.lastOfBusiestCaller()->request.id;
+        queue.remove(victim);
+        refuse(victim, ErrorKind::QueueFull, times.mean(), decisions);
+    }
+}
+
+bool Dispatcher::Impl::placeFirst(bool isLong, Time now, Decisions &decisions)
+{
+    const Waiting *first = queue.first(isLong, now);
+    if (first == nullptr) {
+        return false;
+    }
+    const std::optional<SlotPlace> place = chooseSlot(upstreams, rules(now), isLong, first->avoid, turn, random, now);
+    if (!place) {
+        return false;
+    }
+    const Waiting waiting = *queue.remove(first->request.id);
+    UpstreamState &state = upstreams.all()[place->upstream];
+    state.slots[place->slot].busy = true;
+    ++state.running;
+    state.runningLong += isLong ? 1 : 0;
+    noteStart(state, now);
+    running.emplace(waiting.request.id, Running{.request = waiting.request,
+                                                .upstream = state.upstream.address,
+                                                .slot = place->slot,
+                                                .started = now,
+                                                .attempts = waiting.attempts,
+                                                .isLong = isLong});
+    decisions.starts.push_back({waiting.request.id, state.upstream.address});
+    return true;
+}
+
+void Dispatcher::Impl::noteAges(Time now)
+{
+    for (auto &[id, run] : running) {
+        if (run.isLong || now - run.started <= service.limits.shortBound) {
+            continue;
+        }
+        run.isLong = true;
+        if (UpstreamState *state = upstreams.find(run.upstream)) {
+            ++state->runningLong;
+        }
+    }
+}
+
+void Dispatcher::Impl::release(const Running &run, Time /*now*/)
+{
+    UpstreamState *state = upstreams.find(run.upstream);
+    if (state == nullptr) {
+        return;
+    }
+    --state->running;
+    state->runningLong -= run.isLong ? 1 : 0;
+    state->slots[run.slot].busy = false;
+}
+
+} // namespace medlarway
