--- a/tests/peering/peering_test.cpp
+++ b/tests/peering/peering_test.cpp
@@ -57,8 +57,8 @@
 
 Sample sample()
 {
-    return Sample{HostId{77}, Endpoint{0x7f000001, 80},         Colour::Green, std::chrono::seconds{3}, true,
-                  -5,         {{"\xff\x01", 4}, {"", std::nullopt}}};
+    return Sample{
+        HostId{77}, Endpoint{0x7f000001, 80}, Colour::Green, std::chrono::seconds{3}, true, -5, {{"\xff\x01", 4}, {"", std::nullopt}}};
 }
 
 ErrorKind kindOfFailure(const std::function<void()> &action)
