--- /dev/null
+++ b/src/proxy/engine.cpp
@@ -0,0 +1,158 @@
+#include "proxy/engine.h"
+
+#include "base/errors.h"
+#include "base/hash.h"
+#include "proxy/data_thread.h"
+#include "proxy/service_runner.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <future>
+
+namespace medlarway
+{
+
+namespace
+{
+
+constexpr auto kAnswerWait = std::chrono::seconds{1};
+
+std::vector<Service> allServices(const Catalogue &catalogue)
+{
+    std::vector<Service> result;
+    for (const auto &shard : catalogue.shards) {
+        result.insert(result.end(), shard.services.begin(), shard.services.end());
+    }
+    return result;
+}
+
+} // namespace
+
+struct ProxyEngine::Impl {
+    ProxyOptions options;
+    ProxyPorts ports;
+    std::vector<std::unique_ptr<DataThread>> threads;
+
+    DataThread &threadOf(const std::string &service)
+    {
+        return *threads[hashBytes(service) % threads.size()];
+    }
+
+    // Asks a data thread and waits for its answer; the fallback where it is late or its ring is full.
+    template<class T>
+    T ask(DataThread &thread, std::function<T()> question, T fallback)
+    {
+        auto promise = std::make_shared<std::promise<T>>();
+        auto answer = promise->get_future();
+        const bool handed = thread.hand([promise, question = std::move(question)] { promise->set_value(question()); });
+        if (!handed || answer.wait_for(kAnswerWait) != std::future_status::ready) {
+            return fallback;
+        }
+        return answer.get();
+    }
+};
+
+ProxyEngine::ProxyEngine(ProxyOptions options, ProxyPorts ports)
+    : impl_(std::make_unique<Impl>())
+{
+    impl_->options = std::move(options);
+    impl_->ports = std::move(ports);
+    const auto threads = std::max(1U, impl_->options.threads);
+    for (unsigned index = 0; index < threads; ++index) {
+        impl_->threads.push_back(std::make_unique<DataThread>(impl_->options, impl_->ports, index));
+    }
+}
+
+ProxyEngine::~ProxyEngine() = default;
+
+void ProxyEngine::applyCatalogue(const std::shared_ptr<const Catalogue> &catalogue)
+{
+    std::vector<std::vector<Service>> parts(impl_->threads.size());
+    for (auto &service : allServices(*catalogue)) {
+        auto &part = parts[hashBytes(service.name) % parts.size()];
+        part.push_back(std::move(service));
+    }
+    for (std::size_t index = 0; index < parts.size(); ++index) {
+        impl_->threads[index]->replaceServices(std::make_shared<const std::vector<Service>>(std::move(parts[index])));
+    }
+}
+
+void ProxyEngine::applyView(const std::shared_ptr<const View> &view)
+{
+    for (const auto &thread : impl_->threads) {
+        thread->replaceView(view);
+    }
+}
+
+void ProxyEngine::deliverSlotMessage(const std::string &service, HostId from, const SlotMessage &message)
+{
+    auto &thread = impl_->threadOf(service);
+    thread.hand([&thread, service, from, message] {
+        if (auto *runner = thread.find(service)) {
+            runner->receive(from, message);
+        }
+    });
+}
+
+void ProxyEngine::deliverRelayedDatagram(HostId from, const RelayedDatagram &datagram)
+{
+    auto &thread = impl_->threadOf(datagram.service);
+    thread.hand([&thread, from, datagram] {
+        if (auto *runner = thread.find(datagram.service)) {
+            runner->deliverRelayed(from, datagram);
+        }
+    });
+}
+
+void ProxyEngine::beginDrain()
+{
+    for (const auto &thread : impl_->threads) {
+        thread->beginDrain();
+    }
+}
+
+bool ProxyEngine::drained() const
+{
+    return std::all_of(impl_->threads.begin(), impl_->threads.end(), [](const auto &thread) { return thread->drained(); });
+}
+
+std::optional<Endpoint> ProxyEngine::listeningOn(const std::string &service) const
+{
+    auto &thread = impl_->threadOf(service);
+    const auto address = impl_->ask<Endpoint>(
+        thread,
+        [&thread, service] {
+            const auto *runner = thread.find(service);
+            return runner != nullptr ? runner->listeningOn() : Endpoint{};
+        },
+        Endpoint{});
+    return address.port == 0 ? std::nullopt : std::optional(address);
+}
+
+std::string ProxyEngine::stateAsJson() const
+{
+    std::string services;
+    for (const auto &thread : impl_->threads) {
+        const auto part = impl_->ask<std::string>(
+            *thread, [&thread = *thread] { return thread.stateAsJson(); }, R"({"error":"no answer"})");
+        if (!services.empty() && !part.empty()) {
+            services += ',';
+        }
+        services += part;
+    }
+    return fmt::format(R"({{"services":[{}]}})", services);
+}
+
+std::vector<std::string> ProxyEngine::explain(const std::string &service, const std::string &path, const Endpoint &caller) const
+{
+    auto &thread = impl_->threadOf(service);
+    return impl_->ask<std::vector<std::string>>(thread,
+                                                [&thread, service, path, caller] {
+                                                    const auto *runner = thread.find(service);
+                                                    return runner != nullptr ? runner->explain(path, caller)
+                                                                             : std::vector<std::string>{"no such service"};
+                                                },
+                                                {"the data thread does not answer"});
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/proxy/http_session.cpp
@@ -0,0 +1,167 @@
+#include "proxy/http_session.h"
+
+#include "base/errors.h"
+#include "proxy/http_exchange.h"
+#include "proxy/http_rules.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <exception>
+
+namespace medlarway
+{
+
+namespace
+{
+
+// After its last answer a connection is read on for a while: closing it with unread bytes
+// would reset it, and the answer could be lost.
+constexpr auto kLingerTime = std::chrono::seconds{1};
+constexpr std::size_t kLingerBytes = 1U << 20U;
+
+// One caller's connection, request after request.
+class HttpSession
+{
+public:
+    explicit HttpSession(std::shared_ptr<HttpConnection> connection)
+        : connection_(std::move(connection))
+    {
+    }
+
+    asio::awaitable<void> run()
+    {
+        auto after = AfterExchange::KeepAlive;
+        while (after == AfterExchange::KeepAlive) {
+            after = co_await serveNext();
+        }
+        if (after == AfterExchange::Reset) {
+            resetSocket(connection_->caller());
+        } else {
+            co_await closeInOrder();
+        }
+        closeSocket(connection_->upstream());
+        connection_->setDeadline(std::nullopt);
+    }
+
+private:
+    asio::awaitable<AfterExchange> serveNext()
+    {
+        // Step 1. Wait for the first byte.
+        const bool ready = co_await waitForRequest();
+        if (!ready) {
+            co_return AfterExchange::Close;
+        }
+
+        // Step 2. Read and check the head.
+        const auto &options = connection_->runner().thread().options();
+        connection_->setDeadline(currentTime() + options.headTimeout);
+        const auto read = co_await readHead(*connection_, connection_->caller(), connection_->input(), options.headBytes);
+        if (connection_->interrupted() == Interrupt::TimedOut) {
+            co_return co_await refuse(ErrorKind::RequestTooSlow);
+        }
+        if (read.error) {
+            co_return co_await refuse(*read.error);
+        }
+        if (read.size == 0) {
+            co_return AfterExchange::Reset;
+        }
+        const auto error = checkRequestHead(viewOf(connection_->input()).substr(0, read.size));
+        if (error) {
+            co_return co_await refuse(*error);
+        }
+
+        // Step 3. Parse it; a parser that sees it otherwise than the check is a reason to refuse.
+        RequestParser parser;
+        parser.header_limit(static_cast<std::uint32_t>(options.headBytes));
+        parser.body_limit(boost::none);
+        boost::beast::error_code parseError;
+        const auto used = parser.put(asio::buffer(connection_->input().data(), read.size), parseError);
+        if (parseError || used != read.size) {
+            co_return co_await refuse(ErrorKind::MalformedRequest);
+        }
+        connection_->input().consume(read.size);
+
+        // Step 4. Serve it.
+        connection_->nextExchange();
+        HttpExchange exchange(*connection_, parser);
+        co_return co_await exchange.run();
+    }
+
+    // False where the connection ends without a further request.
+    asio::awaitable<bool> waitForRequest()
+    {
+        if (connection_->input().size() > 0) {
+            co_return true;
+        }
+        releaseIfEmpty(connection_->input());
+        connection_->setIdle(true);
+        connection_->setDeadline(currentTime() + connection_->runner().service().limits.idleTimeout);
+        if (connection_->runner().draining()) {
+            connection_->beginDrain();
+        }
+        const auto error = co_await connection_->waitToRead(connection_->caller());
+        connection_->setIdle(false);
+        co_return !error;
+    }
+
+    // Answers a request that has no valid head. What follows on the connection can't be told apart, so it ends.
+    asio::awaitable<AfterExchange> refuse(ErrorKind kind)
+    {
+        const auto interrupted = connection_->interrupted();
+        if (interrupted != Interrupt::None && interrupted != Interrupt::TimedOut) {
+            co_return AfterExchange::Reset;
+        }
+        reportError(kind, endpointToString(connection_->callerEndpoint()));
+        count(Counter::RequestsNotRun);
+        connection_->clearInterrupt();
+        connection_->setDeadline(currentTime() + kLingerTime);
+        const auto text = writeErrorAnswer(errorRow(kind), errorRow(kind).outcome, Duration::zero(), true, true);
+        const bool whole = co_await writeText(*connection_, connection_->caller(), text);
+        co_return whole ? AfterExchange::Close : AfterExchange::Reset;
+    }
+
+    asio::awaitable<void> closeInOrder()
+    {
+        auto &socket = connection_->caller();
+        ErrorCode error;
+        socket.shutdown(tcp::socket::shutdown_send, error);
+        connection_->clearInterrupt();
+        connection_->setDeadline(currentTime() + kLingerTime);
+        const auto scratch = connection_->runner().thread().scratch();
+        for (std::size_t dropped = 0; !error && dropped < kLingerBytes;) {
+            dropped += socket.read_some(asio::buffer(scratch.data(), scratch.size()), error);
+            if (isWouldBlock(error)) {
+                error = co_await connection_->waitToRead(socket);
+            }
+        }
+        closeSocket(socket);
+    }
+
+    std::shared_ptr<HttpConnection> connection_;
+};
+
+asio::awaitable<void> serve(std::shared_ptr<HttpConnection> connection)
+{
+    HttpSession session(std::move(connection));
+    co_await session.run();
+}
+
+} // namespace
+
+void startHttpSession(const std::shared_ptr<ServiceRunner> &runner, tcp::socket caller)
+{
+    auto connection = std::make_shared<HttpConnection>(runner, std::move(caller));
+    if (!connection->enter()) {
+        reportError(ErrorKind::ConnectionLimit, runner->service().name);
+        return;
+    }
+    const auto executor = connection->caller().get_executor();
+    asio::co_spawn(executor, serve(connection), [connection](const std::exception_ptr &fault) {
+        if (fault) {
+            reportError(ErrorKind::Internal, "a caller's connection");
+            resetSocket(connection->caller());
+            closeSocket(connection->upstream());
+        }
+    });
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/proxy/tcp_listener.cpp
@@ -0,0 +1,112 @@
+#include "proxy/tcp_listener.h"
+
+#include <boost/asio/error.hpp>
+#include <chrono>
+#include <sys/socket.h>
+
+namespace medlarway
+{
+
+namespace
+{
+
+constexpr int kBacklog = 4096;
+constexpr auto kPauseAfterFailure = std::chrono::milliseconds{50};
+
+using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+} // namespace
+
+TcpListener::TcpListener(asio::io_context &context, Accepted accepted)
+    : acceptor_(context)
+    , pause_(context)
+    , accepted_(std::move(accepted))
+{
+}
+
+ErrorCode TcpListener::listen(const Endpoint &address)
+{
+    ErrorCode error;
+    acceptor_.open(tcp::v4(), error);
+    if (!error) {
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor_.set_option(ReusePort(true), error);
+    }
+    if (!error) {
+        acceptor_.bind(tcpEndpointOf(address), error);
+    }
+    if (!error) {
+        acceptor_.listen(kBacklog, error);
+    }
+    if (!error) {
+        acceptor_.non_blocking(true, error);
+    }
+    if (error) {
+        ErrorCode ignored;
+        acceptor_.close(ignored);
+        return error;
+    }
+    acceptNext();
+    return error;
+}
+
+Endpoint TcpListener::address() const
+{
+    ErrorCode error;
+    const auto local = acceptor_.local_endpoint(error);
+    return error ? Endpoint{} : endpointFrom(local);
+}
+
+void TcpListener::acceptNext()
+{
+    acceptor_.async_accept(
+        [self = shared_from_this()](const ErrorCode &error, tcp::socket socket) { self->onAccepted(error, std::move(socket)); });
+}
+
+// Want of descriptors or memory passes; the listener waits a little instead of spinning.
+void TcpListener::onAccepted(const ErrorCode &error, tcp::socket socket)
+{
+    if (!acceptor_.is_open()) {
+        return;
+    }
+    if (!error) {
+        prepareSocket(socket);
+        accepted_(std::move(socket));
+        if (acceptor_.is_open()) {
+            acceptNext();
+        }
+        return;
+    }
+    pause_.expires_after(kPauseAfterFailure);
+    pause_.async_wait([self = shared_from_this()](const ErrorCode &cancelled) {
+        if (!cancelled && self->acceptor_.is_open()) {
+            self->acceptNext();
+        }
+    });
+}
+
+// Connections that the system has completed but nobody accepted would be reset by a
+// close, so they are taken first.
+void TcpListener::close()
+{
+    if (!acceptor_.is_open()) {
+        return;
+    }
+    ErrorCode error;
+    acceptor_.cancel(error);
+    while (true) {
+        tcp::socket socket(acceptor_.get_executor());
+        acceptor_.accept(socket, error);
+        if (error) {
+            break;
+        }
+        prepareSocket(socket);
+        accepted_(std::move(socket));
+    }
+    acceptor_.close(error);
+    pause_.cancel();
+}
+
+} // namespace medlarway
