--- a/src/base/host.h
+++ b/src/base/host.h
@@ -16,7 +16,7 @@
 struct HostId {
     std::uint64_t value = 0;
 
-    friend auto operator<=>(const HostId &, const HostId &) = default;
+    friend auto operator<=>(const HostId &, const HostId &) = default; // NOLINT(modernize-use-nullptr): the check takes <=> for a 0
 };
 
 /// The id of the host whose peers' port is at the endpoint.
@@ -35,7 +35,7 @@
 struct AvailabilityZone {
     std::string name;
 
-    friend auto operator<=>(const AvailabilityZone &, const AvailabilityZone &) = default;
+    friend auto operator<=>(const AvailabilityZone &, const AvailabilityZone &) = default; // NOLINT(modernize-use-nullptr): as above
 };
 
 /// What a view says of a member.
--- /dev/null
+++ b/src/guard/guard_memory.cpp
@@ -0,0 +1,153 @@
+#include "guard/guard_memory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarway
+{
+
+namespace
+{
+
+/// How long to wait before hosts that have not told all they keep are asked again.
+constexpr Duration kRequestInterval = std::chrono::seconds{2};
+
+bool contains(const GuardSet &set, HostId host)
+{
+    return std::find(set.hosts.begin(), set.hosts.end(), host) != set.hosts.end();
+}
+
+} // namespace
+
+GuardMemory::GuardMemory(HostId self, const GuardSettings &settings, std::uint64_t seed, Time now)
+    : self_(self)
+    , settings_(settings)
+    , startedAt_(now)
+    // An ask from before the start may still collect votes for one lease. What the others keep after
+    // two is what every run with a forgotten vote of this guard has left with them.
+    , nextRequest_(now + 2 * settings.lease)
+    , firstRequest_(mixBits(seed) >> 1U)
+    , lastRequest_(firstRequest_)
+{
+}
+
+// Votes from before the start don't matter any more once the window and the
+// lease of the youngest have passed.
+bool GuardMemory::isOldEnough(Duration window, Time now) const
+{
+    const auto silence = std::min(window, settings_.silence);
+    return silence == Duration{0} || now >= startedAt_ + silence + silence / 64 + settings_.lease;
+}
+
+// A run that a forgotten vote of this guard helped to grant has left its votes
+// with a majority less one of the other guards. Among as many others as make
+// up the rest and one more, at least one has kept it.
+bool GuardMemory::covers(const std::vector<GuardSet> &sets, Duration window, Time now) const
+{
+    if (isOldEnough(window, now)) {
+        return true;
+    }
+    bool isGuard = false;
+    for (const auto &set : sets) {
+        if (!contains(set, self_)) {
+            continue;
+        }
+        isGuard = true;
+        const auto told = std::count_if(set.hosts.begin(), set.hosts.end(), [this](HostId host) { return complete_.contains(host); });
+        const auto needed = set.hosts.size() - majorityOf(set.hosts.size()) + 1;
+        if (static_cast<std::size_t>(told) < needed) {
+            return false;
+        }
+    }
+    return isGuard;
+}
+
+bool GuardMemory::isFull(const Rosters &rosters, Time now) const
+{
+    if (isOldEnough(settings_.longestWindow, now)) {
+        return true;
+    }
+    const auto &hosts = rosters.current();
+    const auto missing
+        = std::count_if(hosts.begin(), hosts.end(), [this](HostId host) { return host != self_ && !complete_.contains(host); });
+    const auto allowed = majorityOf(std::min(settings_.guardCount, hosts.size()));
+    return hosts.size() > 1 && static_cast<std::size_t>(missing) + 2 <= allowed;
+}
+
+void GuardMemory::request(const Rosters &rosters, Time now, Outbox<GuardMessage> &outbox)
+{
+    if (now < nextRequest_ || isOldEnough(settings_.longestWindow, now)) {
+        return;
+    }
+    nextRequest_ = now + kRequestInterval;
+    ++lastRequest_;
+    for (const auto host : rosters.current()) {
+        if (host != self_ && !complete_.contains(host)) {
+            GuardMessage message;
+            message.kind = GuardMessageKind::MemoryRequest;
+            message.ask = lastRequest_;
+            message.roster = rosters.hash();
+            outbox.push_back({host, std::move(message)});
+        }
+    }
+}
+
+void GuardMemory::receive(HostId from, const GuardMessage &message, Time now, KeptKeys &keys, Rosters &rosters)
+{
+    const bool isExpected = message.ask > firstRequest_ && message.ask <= lastRequest_;
+    if (!isExpected || message.part >= message.parts) {
+        return;
+    }
+    for (const auto &list : message.guards) {
+        rosters.addEarlier(list.hosts, now);
+    }
+    for (const auto &kept : message.memory) {
+        if (keys.size() >= settings_.keyLimit) {
+            return;
+        }
+        if (keys.find(kept.key, now) == nullptr) {
+            const auto longest = settings_.longestWindow * 2 + settings_.lease;
+            keys.keep(kept.key, {kept.asker, kept.ask, now + std::min(kept.remaining, longest), true});
+        }
+    }
+    auto &parts = parts_[from];
+    if (message.ask > parts.request) {
+        parts = {message.ask, message.parts, {}};
+    }
+    if (message.ask < parts.request || message.parts != parts.expected) {
+        return;
+    }
+    parts.received.insert(message.part);
+    if (parts.received.size() == parts.expected) {
+        complete_.insert(from);
+    }
+}
+
+void answerMemoryRequest(HostId from, std::uint64_t request, const KeptKeys &keys, const Rosters &rosters, Time now,
+                         Outbox<GuardMessage> &outbox)
+{
+    std::vector<GuardMessage> messages(1);
+    messages.front().guards = rosters.all();
+    for (const auto &[key, holder] : keys.all()) {
+        const auto sets = rosters.guardsOf(key, now);
+        const bool isGuard = std::any_of(sets.begin(), sets.end(), [from](const GuardSet &set) { return contains(set, from); });
+        if (!isGuard || holder.until <= now) {
+            continue;
+        }
+        if (messages.back().memory.size() >= kKeysPerMessage) {
+            messages.emplace_back();
+        }
+        messages.back().memory.push_back({key, holder.asker, holder.ask, holder.until - now});
+    }
+    std::uint32_t part = 0;
+    for (auto &message : messages) {
+        message.kind = GuardMessageKind::Memory;
+        message.ask = request;
+        message.roster = rosters.hash();
+        message.part = part++;
+        message.parts = static_cast<std::uint32_t>(messages.size());
+        outbox.push_back({from, std::move(message)});
+    }
+}
+
+} // namespace medlarway
--- a/src/yaml/fault.cpp
+++ b/src/yaml/fault.cpp
@@ -36,4 +36,13 @@
     return text;
 }
 
+std::string faultsOnOneLine(const std::string &faults)
+{
+    std::string line;
+    for (const char c : faults) {
+        line += c == '\n' ? std::string("; ") : std::string(1, c);
+    }
+    return line;
+}
+
 } // namespace medlarway
--- a/src/yaml/fault.h
+++ b/src/yaml/fault.h
@@ -42,4 +42,7 @@
 /// One fault a line, each after the prefix; the prefix is usually the file's name and a colon.
 std::string faultsToString(const Faults &faults, const std::string &prefix = {});
 
+/// The same for a log line: the faults of faultsToString, joined by "; ".
+std::string faultsOnOneLine(const std::string &faults);
+
 } // namespace medlarway
