model: a policy bench with a virtual clock, fake upstreams and the users' sizes

Cause: ways of sharing slots between hosts can't be weighed without one seeded load that all of them meet.

--- /dev/null
+++ b/tests/model/policy_bench_test.cpp
@@ -0,0 +1,36 @@
+#include "model/policy_bench.h"
+
+#include <doctest/doctest.h>
+#include <fstream>
+
+using namespace medlarway;
+using namespace medlarway::model;
+
+namespace
+{
+
+constexpr std::uint64_t kSeeds = 10;
+
+const std::vector<BenchRow> &benchRows()
+{
+    static const std::vector<BenchRow> kRows = runBench(committedScenarios(), comparedPolicies(), kSeeds);
+    return kRows;
+}
+
+} // namespace
+
+TEST_CASE("the policy bench")
+{
+    SUBCASE("comes to the signature in bench/policy_signature.txt")
+    {
+        std::uint64_t expected = 0;
+        std::ifstream{"bench/policy_signature.txt"} >> expected;
+        CHECK(benchSignature(benchRows()) == expected);
+    }
+    SUBCASE("gives every request an outcome, under every policy")
+    {
+        for (const BenchRow &row : benchRows()) {
+            CHECK_MESSAGE(row.mean.neverEnded == 0, row.scenario << " " << row.policy);
+        }
+    }
+}
