balance: slots owned by one host and lent to the host whose request must start first

Change: three ways of knowing slots behind one option: own counts, counts told by peers every 10 ms, and slots that rendezvous over the view gives to one owner, which lends them for at most 300 ms to the peer whose first request must start earliest. A loan counts from the sending of the want, so it ends at the borrower before it ends at the owner; Hold keeps a slot in use. Two choices stays the default until peers' messages are wired.

--- a/src/balance/choice.cpp
+++ b/src/balance/choice.cpp
@@ -12,6 +12,23 @@
 /// Upstreams with a free slot, by their places in the table.
 using Candidates = std::vector<SlotPlace>;
 
+std::size_t usableSlots(const UpstreamState &state, const ChoiceRules &rules)
+{
+    return std::min<std::size_t>(state.slots.size(), rules.slotsPerUpstream);
+}
+
+// Slot 0 of an upstream with several is the short lane. Since each slot has one owner, the rule
+// holds over all hosts without a word between them. Long work that this host found out late may
+// sit in slot 0; the other slots are the short lane then.
+std::size_t firstSlot(const UpstreamState &state, const ChoiceRules &rules, bool isLong)
+{
+    const std::size_t slots = usableSlots(state, rules);
+    if (!isLong || !rules.options.lanes || slots <= 1 || rules.longMayTakeAll) {
+        return 0;
+    }
+    return state.runningLong + 1 >= slots ? slots : 1;
+}
+
 Candidates candidatesOf(const UpstreamTable &table, const ChoiceRules &rules, bool isLong, const std::optional<Endpoint> &avoid, Time now)
 {
     Candidates candidates;
@@ -66,29 +83,33 @@
 
 } // namespace
 
-// Slot 0 of an upstream with several is the short lane. Since each slot has one owner, the
-// rule holds over all hosts without a word between them.
 std::optional<std::size_t> freeSlot(const UpstreamState &state, const ChoiceRules &rules, bool isLong, Time now)
 {
-    // Step 1. The upstream as a whole.
     if (!takesWork(state, now) || state.running >= allowedNow(state, rules.slotsPerUpstream, now)) {
         return std::nullopt;
     }
-    if (rules.options.sharing == Sharing::Gossip && state.running + state.peersRunning >= rules.slotsPerUpstream) {
+    if (rules.options.sharing == Sharing::Gossip && state.running + peersRunning(state) >= rules.slotsPerUpstream) {
         return std::nullopt;
     }
-
-    // Step 2. Its slots, those that long work may use first where it is long.
-    const std::size_t slots = std::min<std::size_t>(state.slots.size(), rules.slotsPerUpstream);
-    const bool keepFirst = isLong && rules.options.lanes && slots > 1 && !rules.longMayTakeAll;
-    for (std::size_t i = keepFirst ? 1 : 0; i < slots; ++i) {
+    for (std::size_t i = firstSlot(state, rules, isLong); i < usableSlots(state, rules); ++i) {
         const Slot &slot = state.slots[i];
-        if (slot.busy) {
-            continue;
-        }
         const bool own = slot.owner == rules.self && now >= slot.lentUntil;
         const bool borrowed = slot.borrowedUntil && now < *slot.borrowedUntil;
-        if (own || borrowed) {
+        if (!slot.busy && (own || borrowed)) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> lendableSlot(const UpstreamState &state, const ChoiceRules &rules, bool isLong, Time now)
+{
+    if (!takesWork(state, now) || state.running >= allowedNow(state, rules.slotsPerUpstream, now)) {
+        return std::nullopt;
+    }
+    for (std::size_t i = firstSlot(state, rules, isLong); i < usableSlots(state, rules); ++i) {
+        const Slot &slot = state.slots[i];
+        if (slot.owner == rules.self && !slot.busy && now >= slot.lentUntil && now >= slot.notLentBefore) {
             return i;
         }
     }
@@ -96,8 +117,8 @@
 }
 
 // The share of the upstream's slots in use, with a surcharge of half a slot for the way to another
-// zone: an idle upstream elsewhere beats a half full one here. Among equals the one that started
-// the fewest requests of late.
+// zone: an idle upstream elsewhere beats a half full one here. Among equals the one that
+// was in use the least of late.
 double choiceCost(const UpstreamState &state, const ChoiceRules &rules, Time now)
 {
     constexpr double kOtherZoneSlots = 0.5;
@@ -106,7 +127,7 @@
 
     double cost = state.running;
     if (rules.options.sharing == Sharing::Gossip) {
-        cost += state.peersRunning;
+        cost += peersRunning(state);
     }
     if (rules.options.zoneFirst && state.upstream.zone != rules.zone) {
         cost += kOtherZoneSlots;
@@ -114,7 +135,7 @@
     if (state.warmAnswers < kWarmAnswers) {
         cost += kColdSlots;
     }
-    return cost + kRecentWeight * recentStarts(state, now);
+    return cost + kRecentWeight * recentBusy(state, now);
 }
 
 std::optional<SlotPlace> chooseSlot(const UpstreamTable &table, const ChoiceRules &rules, bool isLong, const std::optional<Endpoint> &avoid,
--- a/src/balance/choice.h
+++ b/src/balance/choice.h
@@ -31,6 +31,9 @@
 /// The first slot there that this host may start a request of the lane in; nullopt where there is none.
 std::optional<std::size_t> freeSlot(const UpstreamState &state, const ChoiceRules &rules, bool isLong, Time now);
 
+/// The first slot there that this host owns, does not use and may lend for a request of the lane.
+std::optional<std::size_t> lendableSlot(const UpstreamState &state, const ChoiceRules &rules, bool isLong, Time now);
+
 /// How much an upstream is to be avoided; the lowest is taken.
 double choiceCost(const UpstreamState &state, const ChoiceRules &rules, Time now);
 
--- a/src/balance/dispatcher.cpp
+++ b/src/balance/dispatcher.cpp
@@ -17,6 +17,7 @@
     , options(newOptions)
     , random(seed)
     , times(service.limits.shortBound)
+    , slots(newSelf)
 {
     upstreams.setService(service, self);
 }
@@ -42,12 +43,14 @@
     impl_->service = std::move(service);
     impl_->times.setShortBound(impl_->service.limits.shortBound);
     impl_->upstreams.setService(impl_->service, impl_->self);
+    impl_->shareSlots(now, decisions);
     impl_->pump(now, decisions);
 }
 
 void Dispatcher::setView(const View &view, Time now, Decisions &decisions)
 {
     impl_->view = view;
+    impl_->shareSlots(now, decisions);
     impl_->pump(now, decisions);
 }
 
@@ -95,20 +98,28 @@
     impl_->pump(now, decisions);
 }
 
-// While something waits the dispatcher looks again soon, since an upstream may come back
-// from an ejection or a Retry-After at any time.
+// While something is open the dispatcher looks again soon: an upstream may come back from an
+// ejection or a Retry-After, a loan run out, at any time.
 std::optional<Time> Dispatcher::nextTick() const
 {
-    constexpr Duration kPoll = std::chrono::milliseconds{20};
+    constexpr Duration kPoll = std::chrono::milliseconds{10};
     const std::optional<Time> next = impl_->queue.nextEvent(impl_->lastNow);
-    if (!next) {
+    if (!next && impl_->running.empty() && !impl_->slots.hasLoans(impl_->upstreams)) {
         return std::nullopt;
     }
-    return std::min(*next, impl_->lastNow + kPoll);
+    const Time poll = impl_->lastNow + kPoll;
+    return next ? std::min(*next, poll) : poll;
 }
 
-void Dispatcher::receive(HostId /*from*/, const SlotMessage & /*message*/, Time now, Decisions &decisions)
+void Dispatcher::receive(HostId from, const SlotMessage &message, Time now, Decisions &decisions)
 {
+    Impl &impl = *impl_;
+    if (impl.options.sharing == Sharing::Leases) {
+        impl.slots.receive(impl.upstreams, from, message, now, decisions.messages);
+    }
+    if (impl.options.sharing == Sharing::Gossip && message.kind == static_cast<std::uint8_t>(SlotMessageKind::Count)) {
+        impl.peerCounts.receive(impl.upstreams, from, message);
+    }
     impl_->pump(now, decisions);
 }
 
--- a/src/balance/dispatcher_impl.h
+++ b/src/balance/dispatcher_impl.h
@@ -2,8 +2,10 @@
 
 #include "balance/choice.h"
 #include "balance/dispatcher.h"
+#include "balance/peer_counts.h"
 #include "balance/retry_budget.h"
 #include "balance/service_times.h"
+#include "balance/slots.h"
 #include "balance/upstream_table.h"
 #include "balance/wait_queue.h"
 
@@ -36,6 +38,8 @@
     WaitQueue queue;
     ServiceTimes times;
     RetryBudget budget;
+    SlotShares slots;
+    PeerCounts peerCounts;
     std::unordered_map<RequestId, Running> running;
     std::size_t turn = 0; ///< of the round robin
     std::optional<Time> lastShort; ///< the last arrival of a request expected to be short
@@ -64,6 +68,15 @@
     /// Starts the first request of the lane, if a slot is free for it.
     bool placeFirst(bool isLong, Time now, Decisions &decisions);
 
+    /// Starts or lends for whoever must start first; false where no slot is free for anyone.
+    bool serveFirst(Time now, Decisions &decisions);
+
+    /// Tells peers what they need to know of this host's slots and asks for theirs.
+    void exchange(Time now, Decisions &decisions);
+
+    /// Works out again who owns which slot.
+    void shareSlots(Time now, Decisions &decisions);
+
     /// Marks requests that have run past the short bound as long.
     void noteAges(Time now);
 
--- a/src/balance/placing.cpp
+++ b/src/balance/placing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <vector>
 
 namespace medlarway
 {
@@ -32,8 +33,8 @@
 // The work ahead in the same lane, spread over this host's share of the slots.
 Duration Dispatcher::Impl::expectedWait(bool isLong, Time latestStart) const
 {
-    const std::size_t slots = upstreams.listed() * service.limits.slotsPerUpstream;
-    const std::size_t share = std::max<std::size_t>({slots / hosts(), running.size(), 1});
+    const std::size_t allSlots = upstreams.listed() * service.limits.slotsPerUpstream;
+    const std::size_t share = std::max<std::size_t>({allSlots / hosts(), running.size(), 1});
     const std::size_t ahead = queue.ahead(isLong, latestStart);
     return times.mean() * static_cast<Duration::rep>(ahead) / static_cast<Duration::rep>(share);
 }
@@ -92,14 +93,8 @@
         refuse(late.request.id, kind, times.mean(), decisions);
     }
 
-    // Step 2. The lane whose first request must start earlier goes first; where it finds no slot
-    // the other may.
-    bool placed = true;
-    while (placed) {
-        const Waiting *shortOne = queue.first(false, now);
-        const Waiting *longOne = queue.first(true, now);
-        const bool longFirst = longOne != nullptr && (shortOne == nullptr || longOne->latestStart < shortOne->latestStart);
-        placed = placeFirst(longFirst, now, decisions) || placeFirst(!longFirst, now, decisions);
+    // Step 2. Slots go to whoever must start first, this host's requests or a peer's.
+    while (serveFirst(now, decisions)) {
     }
 
     // Step 3. A queue of length zero stands for no waiting at all.
@@ -108,6 +103,57 @@
         queue.remove(victim);
         refuse(victim, ErrorKind::QueueFull, times.mean(), decisions);
     }
+    exchange(now, decisions);
+}
+
+bool Dispatcher::Impl::serveFirst(Time now, Decisions &decisions)
+{
+    // Step 1. Who asks: the two lanes here, the two lanes of peers.
+    struct Claim {
+        Time latestStart;
+        bool isLong = false;
+        bool isPeers = false;
+    };
+    std::vector<Claim> claims;
+    for (const bool isLong : {false, true}) {
+        if (const Waiting *first = queue.first(isLong, now)) {
+            claims.push_back({first->latestStart, isLong, false});
+        }
+        if (const SlotWant *want = slots.firstWant(isLong, now)) {
+            claims.push_back({want->latestStart, isLong, true});
+        }
+    }
+    std::stable_sort(claims.begin(), claims.end(), [](const Claim &a, const Claim &b) { return a.latestStart < b.latestStart; });
+
+    // Step 2. The first that a free slot suits gets it.
+    return std::any_of(claims.begin(), claims.end(), [&](const Claim &claim) {
+        return claim.isPeers ? slots.lend(upstreams, rules(now), claim.isLong, now, decisions.messages)
+                             : placeFirst(claim.isLong, now, decisions);
+    });
+}
+
+void Dispatcher::Impl::exchange(Time now, Decisions &decisions)
+{
+    if (options.sharing == Sharing::Gossip) {
+        peerCounts.publish(upstreams, now, decisions.messages);
+    }
+    if (options.sharing != Sharing::Leases) {
+        return;
+    }
+    slots.upkeep(upstreams, now, decisions.messages);
+    for (const bool isLong : {false, true}) {
+        if (const Waiting *first = queue.first(isLong, now)) {
+            slots.ask(isLong, queue.size(isLong), first->latestStart, now, decisions.messages);
+        }
+    }
+}
+
+void Dispatcher::Impl::shareSlots(Time now, Decisions &decisions)
+{
+    peerCounts.setView(upstreams, view, self);
+    if (options.sharing == Sharing::Leases) {
+        slots.assign(upstreams, view, now, decisions.messages);
+    }
 }
 
 bool Dispatcher::Impl::placeFirst(bool isLong, Time now, Decisions &decisions)
@@ -122,10 +168,9 @@
     }
     const Waiting waiting = *queue.remove(first->request.id);
     UpstreamState &state = upstreams.all()[place->upstream];
-    state.slots[place->slot].busy = true;
+    SlotShares::noteStart(state.slots[place->slot], now);
     ++state.running;
     state.runningLong += isLong ? 1 : 0;
-    noteStart(state, now);
     running.emplace(waiting.request.id, Running{.request = waiting.request,
                                                 .upstream = state.upstream.address,
                                                 .slot = place->slot,
@@ -149,7 +194,7 @@
     }
 }
 
-void Dispatcher::Impl::release(const Running &run, Time /*now*/)
+void Dispatcher::Impl::release(const Running &run, Time now)
 {
     UpstreamState *state = upstreams.find(run.upstream);
     if (state == nullptr) {
@@ -157,7 +202,11 @@
     }
     --state->running;
     state->runningLong -= run.isLong ? 1 : 0;
-    state->slots[run.slot].busy = false;
+    Slot &slot = state->slots[run.slot];
+    slot.busy = false;
+    slot.usedAt = now;
+    slot.loanBusy += now - run.started;
+    noteBusy(*state, now - run.started, now);
 }
 
 } // namespace medlarway
--- /dev/null
+++ b/src/balance/slots.cpp
@@ -0,0 +1,291 @@
+#include "balance/slots.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace medlarway
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr Duration kWantLife = 150ms; ///< a want not repeated is forgotten
+constexpr Duration kAskPeriod = 50ms; ///< between two wants of one lane
+constexpr Duration kKeepIdle = 20ms; ///< a borrowed slot without work is returned after
+constexpr Duration kUselessSpan = 500ms; ///< a slot that a peer could not use is not lent again for
+constexpr Duration kHoldPeriod = SlotShares::kLoan / 3;
+constexpr Duration kHoldMargin = SlotShares::kLoan / 6; ///< for a Hold to reach the owner
+constexpr std::size_t kAskedPeers = 4;
+
+SlotMessage messageOf(SlotMessageKind kind, const Endpoint &upstream, std::size_t slot, std::uint64_t number, std::uint64_t amount)
+{
+    return SlotMessage{static_cast<std::uint8_t>(kind), upstream, static_cast<std::uint32_t>(slot), number, amount};
+}
+
+std::uint64_t slotRank(HostId host, const Upstream &upstream, std::size_t slot)
+{
+    const std::uint64_t place = (std::uint64_t{upstream.address.address} << 16U) | upstream.address.port;
+    return combineHash(combineHash(place, slot), host.value);
+}
+
+/// The slot that a message names; nullptr where it is not known here.
+Slot *slotOf(UpstreamTable &table, const SlotMessage &message)
+{
+    UpstreamState *state = table.find(message.upstream);
+    if (state == nullptr || message.slot >= state->slots.size()) {
+        return nullptr;
+    }
+    return &state->slots[message.slot];
+}
+
+} // namespace
+
+// Hosts of the upstream's own zone come first, so that a zone that is cut off owns what it can reach.
+HostId slotOwner(const View &view, HostId self, const Upstream &upstream, std::size_t slot)
+{
+    std::optional<HostId> best;
+    bool bestIsNear = false;
+    for (const Member &member : view.members) {
+        if (member.state == HostState::Leaving) {
+            continue;
+        }
+        const bool isNear = member.zone == upstream.zone;
+        const bool better = !best || (isNear && !bestIsNear)
+                            || (isNear == bestIsNear && slotRank(member.id, upstream, slot) > slotRank(*best, upstream, slot));
+        if (better) {
+            best = member.id;
+            bestIsNear = isNear;
+        }
+    }
+    return best.value_or(self);
+}
+
+void SlotShares::assign(UpstreamTable &table, const View &view, Time now, Outbox<SlotMessage> &outbox)
+{
+    // Step 1. The peers that can be asked; the order is each host's own, so that not all ask the same.
+    peers_.clear();
+    for (const Member &member : view.members) {
+        if (member.id != self_ && member.state != HostState::Leaving) {
+            peers_.push_back(member.id);
+        }
+    }
+    std::sort(peers_.begin(), peers_.end(), [this](HostId first, HostId second) {
+        return combineHash(self_.value, first.value) < combineHash(self_.value, second.value);
+    });
+
+    // Step 2. The owners. What others still run in a slot they tell by Hold.
+    for (UpstreamState &state : table.all()) {
+        for (std::size_t i = 0; i < state.slots.size(); ++i) {
+            Slot &slot = state.slots[i];
+            const HostId owner = slotOwner(view, self_, state.upstream, i);
+            if (owner == slot.owner) {
+                continue;
+            }
+            slot.owner = owner;
+            slot.lentTo.reset();
+            slot.lentUntil = owner == self_ ? now + kLoan : Time{};
+            if (owner != self_ && slot.busy) {
+                slot.borrowedUntil = now;
+                slot.holdAt = now + kHoldPeriod;
+                outbox.push_back({owner, messageOf(SlotMessageKind::Hold, state.upstream.address, i, 0, 0)});
+            }
+        }
+    }
+}
+
+void SlotShares::receive(UpstreamTable &table, HostId from, const SlotMessage &message, Time now, Outbox<SlotMessage> &outbox)
+{
+    switch (static_cast<SlotMessageKind>(message.kind)) {
+    case SlotMessageKind::WantShort:
+    case SlotMessageKind::WantLong:
+        takeWant(from, message, now);
+        return;
+    case SlotMessageKind::Lend:
+        takeLoan(table, from, message, now, outbox);
+        return;
+    case SlotMessageKind::Return:
+        takeReturn(table, from, message, now);
+        return;
+    case SlotMessageKind::Hold:
+        takeHold(table, from, message, now);
+        return;
+    case SlotMessageKind::Count:
+        return;
+    }
+}
+
+// A peer has one want for each lane; a later one replaces it.
+void SlotShares::takeWant(HostId from, const SlotMessage &message, Time now)
+{
+    constexpr std::uint64_t kFarthest = std::chrono::nanoseconds{1h}.count();
+    constexpr std::uint32_t kMostWanted = 1024;
+    const bool isLong = message.kind == static_cast<std::uint8_t>(SlotMessageKind::WantLong);
+    std::erase_if(wants_, [&](const SlotWant &want) { return want.until < now || (want.from == from && want.isLong == isLong); });
+    wants_.push_back({.from = from,
+                      .isLong = isLong,
+                      .latestStart = now + Duration{std::min(message.amount, kFarthest)},
+                      .count = std::min(message.slot, kMostWanted),
+                      .number = message.number,
+                      .until = now + kWantLife});
+}
+
+// A Hold must reach the owner before its count ends, also where the request starts as the loan ends.
+void SlotShares::noteStart(Slot &slot, Time now)
+{
+    slot.busy = true;
+    slot.usedAt = now;
+    slot.holdAt = now + kHoldPeriod;
+    if (slot.borrowedUntil) {
+        slot.holdAt = std::min(slot.holdAt, *slot.borrowedUntil);
+    }
+}
+
+// The loan runs from the moment the want was sent, which was before the owner began to count:
+// however long the messages took, it ends here before it ends there.
+void SlotShares::takeLoan(UpstreamTable &table, HostId from, const SlotMessage &message, Time now, Outbox<SlotMessage> &outbox)
+{
+    const Asked &asked = asked_[message.number % asked_.size()];
+    UpstreamState *state = table.find(message.upstream);
+    Slot *slot = slotOf(table, message);
+    const bool known = asked.number == message.number && message.number != 0;
+    if (slot == nullptr || slot->owner != from || !known || now >= asked.at + kLoan - kHoldMargin) {
+        return;
+    }
+    slot->borrowedUntil = asked.at + kLoan - kHoldMargin;
+    slot->usedAt = now;
+    if (!takesWork(*state, now) && !slot->busy) {
+        giveBack(*state, message.slot, true, outbox);
+    }
+}
+
+void SlotShares::takeReturn(UpstreamTable &table, HostId from, const SlotMessage &message, Time now)
+{
+    Slot *slot = slotOf(table, message);
+    if (slot == nullptr || slot->lentTo != from) {
+        return;
+    }
+    slot->lentTo.reset();
+    slot->lentUntil = now;
+    if (message.number != 0) {
+        slot->notLentBefore = now + kUselessSpan;
+    }
+    constexpr std::uint64_t kMostBusy = std::chrono::nanoseconds{1h}.count();
+    noteBusy(*table.find(message.upstream), Duration{std::min(message.amount, kMostBusy)}, now);
+}
+
+// Where this host has lent the slot to another meanwhile, that loan stands: both run, and the
+// upstream sheds one of them.
+void SlotShares::takeHold(UpstreamTable &table, HostId from, const SlotMessage &message, Time now) const
+{
+    Slot *slot = slotOf(table, message);
+    if (slot == nullptr || slot->owner != self_ || (slot->lentTo && slot->lentTo != from)) {
+        return;
+    }
+    slot->lentTo = from;
+    slot->lentUntil = now + kLoan;
+}
+
+const SlotWant *SlotShares::firstWant(bool isLong, Time now) const
+{
+    const SlotWant *first = nullptr;
+    for (const SlotWant &want : wants_) {
+        if (want.isLong != isLong || want.until < now || want.count == 0) {
+            continue;
+        }
+        if (first == nullptr || want.latestStart < first->latestStart) {
+            first = &want;
+        }
+    }
+    return first;
+}
+
+bool SlotShares::lend(UpstreamTable &table, const ChoiceRules &rules, bool isLong, Time now, Outbox<SlotMessage> &outbox)
+{
+    const SlotWant *first = firstWant(isLong, now);
+    if (first == nullptr) {
+        return false;
+    }
+    std::optional<SlotPlace> best;
+    for (std::size_t i = 0; i < table.all().size(); ++i) {
+        const UpstreamState &state = table.all()[i];
+        const std::optional<std::size_t> slot = lendableSlot(state, rules, isLong, now);
+        if (slot && (!best || choiceCost(state, rules, now) < choiceCost(table.all()[best->upstream], rules, now))) {
+            best = SlotPlace{i, *slot};
+        }
+    }
+    if (!best) {
+        return false;
+    }
+    UpstreamState &state = table.all()[best->upstream];
+    state.slots[best->slot].lentTo = first->from;
+    state.slots[best->slot].lentUntil = now + kLoan;
+    outbox.push_back({first->from, messageOf(SlotMessageKind::Lend, state.upstream.address, best->slot, first->number, 0)});
+    --wants_[static_cast<std::size_t>(first - wants_.data())].count;
+    return true;
+}
+
+void SlotShares::ask(bool isLong, std::size_t count, Time latestStart, Time now, Outbox<SlotMessage> &outbox)
+{
+    Time &again = askAgain_[isLong ? 1 : 0];
+    if (peers_.empty() || now < again) {
+        return;
+    }
+    again = now + kAskPeriod;
+    const std::uint64_t number = ++lastNumber_;
+    asked_[number % asked_.size()] = {number, now};
+    const auto left = static_cast<std::uint64_t>(std::max(latestStart - now, Duration{0}).count());
+    const SlotMessageKind kind = isLong ? SlotMessageKind::WantLong : SlotMessageKind::WantShort;
+    const SlotMessage message = messageOf(kind, Endpoint{}, count, number, left);
+    for (std::size_t i = 0; i < std::min(peers_.size(), kAskedPeers); ++i) {
+        outbox.push_back({peers_[i], message});
+    }
+}
+
+void SlotShares::upkeep(UpstreamTable &table, Time now, Outbox<SlotMessage> &outbox)
+{
+    std::erase_if(wants_, [now](const SlotWant &want) { return want.until < now || want.count == 0; });
+    for (UpstreamState &state : table.all()) {
+        for (std::size_t i = 0; i < state.slots.size(); ++i) {
+            Slot &slot = state.slots[i];
+            if (slot.lentTo && now >= slot.lentUntil) {
+                slot.lentTo.reset();
+            }
+            if (!slot.borrowedUntil) {
+                continue;
+            }
+            if (slot.busy && now >= slot.holdAt) {
+                slot.holdAt = now + kHoldPeriod;
+                outbox.push_back({slot.owner, messageOf(SlotMessageKind::Hold, state.upstream.address, i, 0, 0)});
+            }
+            if (!slot.busy && (now >= *slot.borrowedUntil || now >= slot.usedAt + kKeepIdle)) {
+                giveBack(state, i, false, outbox);
+            }
+        }
+    }
+}
+
+bool SlotShares::hasLoans(const UpstreamTable &table) const
+{
+    const auto borrowed = [](const Slot &slot) { return slot.borrowedUntil.has_value(); };
+    return !wants_.empty() || std::any_of(table.all().begin(), table.all().end(), [&borrowed](const UpstreamState &state) {
+        return std::any_of(state.slots.begin(), state.slots.end(), borrowed);
+    });
+}
+
+void SlotShares::giveBack(UpstreamState &state, std::size_t slot, bool useless, Outbox<SlotMessage> &outbox) const
+{
+    Slot &lent = state.slots[slot];
+    lent.borrowedUntil.reset();
+    if (lent.owner == self_) {
+        return;
+    }
+    const auto busy = static_cast<std::uint64_t>(lent.loanBusy.count());
+    outbox.push_back({lent.owner, messageOf(SlotMessageKind::Return, state.upstream.address, slot, useless ? 1 : 0, busy)});
+    lent.loanBusy = Duration{0};
+}
+
+} // namespace medlarway
--- a/src/balance/upstream_table.cpp
+++ b/src/balance/upstream_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <numeric>
 
 namespace medlarway
 {
@@ -95,15 +96,21 @@
     return !state.outlier.lastAnswer || now - *state.outlier.lastAnswer > kReportLife;
 }
 
-void noteStart(UpstreamState &state, Time now)
+std::uint32_t peersRunning(const UpstreamState &state)
 {
-    state.busy = recentStarts(state, now) + 1.0;
+    return std::accumulate(state.peers.begin(), state.peers.end(), std::uint32_t{0},
+                           [](std::uint32_t sum, const PeerRunning &peer) { return sum + peer.running; });
+}
+
+void noteBusy(UpstreamState &state, Duration busy, Time now)
+{
+    state.busy = recentBusy(state, now) + std::chrono::duration<double>(busy).count();
     state.busyAt = now;
 }
 
-double recentStarts(const UpstreamState &state, Time now)
+double recentBusy(const UpstreamState &state, Time now)
 {
-    constexpr double kHalfLifeNs = 2e9;
+    constexpr double kHalfLifeNs = 10e9;
     return state.busy * std::exp2(-static_cast<double>((now - state.busyAt).count()) / kHalfLifeNs);
 }
 
--- a/src/balance/upstream_table.h
+++ b/src/balance/upstream_table.h
@@ -17,6 +17,16 @@
     Time lentUntil{}; ///< end of the loan given, or of the wait before a slot that changed hands is used
     std::optional<Time> borrowedUntil{}; ///< set while this host has it on loan: no start after this
     bool busy = false; ///< a request of this host runs in it
+    Time usedAt{}; ///< when this host last began or ended using it
+    Time holdAt{}; ///< when the owner must be told again that it is in use
+    Time notLentBefore{}; ///< a peer could not use it, or the upstream refused in it
+    Duration loanBusy{}; ///< how long it was in use during the loan
+};
+
+/// How many requests a peer runs at an upstream, as it told.
+struct PeerRunning {
+    HostId peer;
+    std::uint32_t running = 0;
 };
 
 /// What one host knows of one upstream.
@@ -27,8 +37,9 @@
     std::uint32_t running = 0;
     std::uint32_t runningLong = 0;
     std::uint32_t connections = 0;
-    std::uint32_t peersRunning = 0; ///< as peers told
-    double busy = 0; ///< requests started of late, a decaying count
+    std::vector<PeerRunning> peers; ///< empty unless counts are gossiped
+    std::uint32_t toldRunning = 0; ///< what peers were told last
+    double busy = 0; ///< seconds that its slots were in use of late, decaying; as far as this host knows
     Time busyAt; ///< when busy was last worked out
     std::uint32_t warmAnswers = 0; ///< answers since it was added or readmitted, up to kWarmAnswers
     std::optional<Time> shedUntil; ///< it asked to be left alone
@@ -80,10 +91,13 @@
 /// Whether a report of bad health is to be believed: it is recent and no own request was answered since.
 bool unhealthyByReport(const UpstreamState &state, Time now);
 
-/// Adds one start to the decaying count.
-void noteStart(UpstreamState &state, Time now);
+/// Requests that peers run there, as they told.
+std::uint32_t peersRunning(const UpstreamState &state);
+
+/// Adds the time that one of its slots was in use.
+void noteBusy(UpstreamState &state, Duration busy, Time now);
 
-/// The decaying count of starts, brought up to now.
-double recentStarts(const UpstreamState &state, Time now);
+/// The decaying sum of noteBusy in seconds, brought up to now.
+double recentBusy(const UpstreamState &state, Time now);
 
 } // namespace medlarway
--- a/tests/balance/dispatcher_test.cpp
+++ b/tests/balance/dispatcher_test.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <doctest/doctest.h>
-#include <set>
+#include <unordered_set>
 
 using namespace medlarway;
 using namespace std::chrono_literals;
@@ -173,7 +173,7 @@
     {
         Dispatcher here = dispatcherOf(service, 1);
         Dispatcher there = dispatcherOf(service, 2);
-        std::set<Endpoint> seen;
+        std::unordered_set<Endpoint> seen;
         for (std::uint64_t hint = 0; hint < 100; ++hint) {
             const auto chosen = here.openConnection(hint, kStart);
             CHECK(chosen == there.openConnection(hint, kStart));
