daemon, ctl: a process that serves the catalogue, and a tool that reads it

Cause: the parts had no program; operators need a planned stop, a state dump and clear refusals. Change: medlarwayd with a thread for each duty (data path, control, platform watch, operator interface), SIGTERM and SIGINT as planned stop, SIGHUP as reload, exit codes 0, 1 and 2; medlarwayctl with a table of subcommands.

--- /dev/null
+++ b/src/ctl/explain_command.cpp
@@ -0,0 +1,32 @@
+#include "ctl/arguments.h"
+#include "ctl/command.h"
+#include "ctl/operator_client.h"
+#include "daemon/query.h"
+
+#include <fmt/format.h>
+
+namespace medlarway
+{
+
+int runExplain(const std::vector<std::string> &arguments)
+{
+    const auto parsed = parseArguments(arguments, 1, {{"service", "path", "caller"}, {}});
+    if (!parsed) {
+        return kExitUsage;
+    }
+    if (!parsed->has("service") || !parsed->has("caller")) {
+        fmt::print(stderr, "--service and --caller are needed\n");
+        return kExitUsage;
+    }
+    const auto path = parsed->has("path") ? parsed->value("path") : "/";
+    const auto target = fmt::format("/explain?service={}&path={}&caller={}", encodeQueryValue(parsed->value("service")),
+                                    encodeQueryValue(path), encodeQueryValue(parsed->value("caller")));
+    const auto answer = askOperator(parsed->positional[0], target);
+    if (!answer) {
+        return kExitFailed;
+    }
+    fmt::print("{}", *answer);
+    return kExitOk;
+}
+
+} // namespace medlarway
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,1 +1,220 @@
+#include "daemon/daemon.h"
+
+#include "base/errors.h"
 #include "daemon/version.h"
+#include "platform/file_source.h"
+#include "settings/settings_file.h"
+#include "yaml/fault.h"
+#include "yaml/scalars.h"
+
+#include <csignal>
+#include <exception>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace medlarway
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds kDrainPollInterval{20};
+
+ProxyOptions proxyOptions(const Settings &settings)
+{
+    ProxyOptions options;
+    options.self = hostIdOf(settings);
+    options.zone = settings.zone;
+    options.bindAddress = settings.address;
+    options.threads = settings.dataThreads;
+    options.requestGrace = settings.graces.requests;
+    options.feedGrace = settings.graces.feeds;
+    options.headTimeout = settings.limits.headTimeout;
+    options.headBytes = settings.limits.headBytes;
+    options.flows = settings.limits.flows;
+    options.seed = hostIdOf(settings).value;
+    return options;
+}
+
+nlohmann::json parseState(const std::string &text)
+{
+    return nlohmann::json::parse(text, nullptr, false);
+}
+
+std::string joinNames(const std::vector<std::string> &names)
+{
+    std::string text;
+    for (const auto &name : names) {
+        text += text.empty() ? "" : ",";
+        text += name;
+    }
+    return text;
+}
+
+} // namespace
+
+Daemon::Daemon(std::string settingsFile, const Settings &settings)
+    : settingsFile_(std::move(settingsFile))
+    , settings_(settings)
+    , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+    , drainTimer_(context_)
+    , engine_(proxyOptions(settings), ProxyPorts{})
+    , control_(settings, engine_)
+    , platform_(settings, [this](const PlatformUpdate &update) { return control_.offer(update); })
+    , operator_(settings.operatorListen,
+                [this, ports = operatorPorts()](const std::string &target) { return answerOperator(ports, target); })
+{
+}
+
+void Daemon::run()
+{
+    control_.start([this](std::vector<WatchedKey> keys) { platform_.setWatchedKeys(std::move(keys)); });
+    platform_.start();
+    operator_.start();
+    logEvent(Event::Started, {field("version", kVersion), field("address", addressToString(settings_.address)),
+                              field("zone", settings_.zone.name), field("operator", endpointToString(settings_.operatorListen)),
+                              field("peers", settings_.peers ? endpointToString(settings_.peers->listen) : "none")});
+    awaitSignal();
+    context_.run();
+    // Step 2 of the planned stop. Each duty ends before those it calls.
+    operator_.stop();
+    platform_.stop();
+    control_.stop();
+    logEvent(Event::Stopped);
+}
+
+void Daemon::awaitSignal()
+{
+    signals_.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        onSignal(signal);
+        awaitSignal();
+    });
+}
+
+void Daemon::onSignal(int signal)
+{
+    if (signal == SIGHUP) {
+        reloadSettings();
+    } else {
+        beginStop(signal);
+    }
+}
+
+// A second signal changes nothing: the graces bound the stop, and cutting requests is for SIGKILL only.
+void Daemon::beginStop(int signal)
+{
+    if (stopping_.exchange(true)) {
+        return;
+    }
+    logEvent(Event::StopRequested,
+             {field("signal", signal), field("graces", fmt::format("{}/{}", durationToString(settings_.graces.requests),
+                                                                   durationToString(settings_.graces.feeds)))});
+    control_.beginLeave();
+    engine_.beginDrain();
+    awaitDrained();
+}
+
+void Daemon::awaitDrained()
+{
+    if (engine_.drained()) {
+        context_.stop();
+        return;
+    }
+    drainTimer_.expires_after(kDrainPollInterval);
+    drainTimer_.async_wait([this](const boost::system::error_code & /*error*/) { awaitDrained(); });
+}
+
+void Daemon::reloadSettings()
+{
+    try {
+        const auto wanted = loadSettings(settingsFile_);
+        const auto restart = changesThatNeedRestart(settings_, wanted);
+        settings_.logLevel = wanted.logLevel;
+        settings_.graces = wanted.graces;
+        if (settings_.peers && wanted.peers) {
+            settings_.peers->bytesPerSecond = wanted.peers->bytesPerSecond;
+        }
+        setLogLevel(settings_.logLevel);
+        control_.applySettings(settings_);
+        logEvent(Event::SettingsReloaded, {field("needs-restart", restart.empty() ? "nothing" : joinNames(restart))});
+    } catch (const Error &error) {
+        reportError(error.kind(), faultsOnOneLine(error.what()));
+    }
+}
+
+OperatorPorts Daemon::operatorPorts()
+{
+    OperatorPorts ports;
+    ports.stateAsJson = [this] { return stateAsJson(); };
+    ports.explain = [this](const std::string &service, const std::string &path, const Endpoint &caller) {
+        return engine_.explain(service, path, caller);
+    };
+    ports.healthy = [this] { return control_.alive(); };
+    ports.readiness = [this] { return readiness(); };
+    return ports;
+}
+
+// Ready once the first catalogue is in force and its services were tried. A service whose address is taken
+// does not hold the others back; it is named instead.
+Readiness Daemon::readiness()
+{
+    if (stopping_) {
+        return {false, "stopping"};
+    }
+    const auto catalogue = control_.catalogueInForce();
+    if (!catalogue) {
+        return {false, "no catalogue yet"};
+    }
+    std::vector<std::string> closed;
+    for (const auto &shard : catalogue->shards) {
+        for (const auto &service : shard.services) {
+            if (!engine_.listeningOn(service.name)) {
+                closed.push_back(service.name);
+            }
+        }
+    }
+    return {true, closed.empty() ? "ready" : "ready, but not listening: " + joinNames(closed)};
+}
+
+std::string Daemon::stateAsJson()
+{
+    const nlohmann::json state{
+        {"version", kVersion},
+        {"host",
+         {{"address", addressToString(settings_.address)},
+          {"zone", settings_.zone.name},
+          {"peers", endpointToString(endpointOf(hostIdOf(settings_)))}}},
+        {"stopping", stopping_.load()},
+        {"control", parseState(control_.stateAsJson())},
+        {"platform", parseState(platform_.stateAsJson())},
+        {"dataPath", parseState(engine_.stateAsJson())},
+    };
+    return state.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+ExitCode runDaemon(const std::string &settingsFile)
+{
+    try {
+        const auto settings = loadSettings(settingsFile);
+        setLogLevel(settings.logLevel);
+        if (!settings.platform.catalogueFile.empty()) {
+            loadCatalogueFile(settings.platform.catalogueFile);
+        }
+        Daemon daemon(settingsFile, settings);
+        daemon.run();
+        return ExitCode::Stopped;
+    } catch (const Error &error) {
+        reportError(error.kind(), faultsOnOneLine(error.what()));
+        const auto badInput = error.kind() == ErrorKind::BadSettings || error.kind() == ErrorKind::BadCatalogue;
+        return badInput ? ExitCode::BadInput : ExitCode::Failed;
+    } catch (const std::exception &exception) {
+        logEvent(Event::FatalError, {field("detail", exception.what())});
+        return ExitCode::Failed;
+    }
+}
+
+} // namespace medlarway
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,9 +1,29 @@
+#include "daemon/daemon.h"
 #include "daemon/version.h"
 
-#include <fmt/core.h>
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <csignal>
+#include <fmt/format.h>
+#include <string>
 
-int main()
+ABSL_FLAG(std::string, settings, "", "the YAML file with this host's settings");
+
+int main(int argumentCount, char **arguments)
 {
-    fmt::print("medlarwayd {}\n", medlarway::kVersion);
-    return 0;
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] { return fmt::format("medlarwayd {}\n", medlarway::kVersion); };
+    absl::SetFlagsUsageConfig(usage);
+    absl::SetProgramUsageMessage("medlarwayd --settings FILE");
+    const auto positional = absl::ParseCommandLine(argumentCount, arguments);
+    const auto settings = absl::GetFlag(FLAGS_settings);
+    if (settings.empty() || positional.size() > 1) {
+        fmt::print(stderr, "usage: medlarwayd --settings FILE\n");
+        return static_cast<int>(medlarway::ExitCode::BadInput);
+    }
+    // A peer that closes its connection is an error of the write, not of the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    return static_cast<int>(medlarway::runDaemon(settings));
 }
--- /dev/null
+++ b/src/daemon/platform_duty.cpp
@@ -0,0 +1,71 @@
+#include "daemon/platform_duty.h"
+
+#include "daemon/control.h"
+#include "platform/file_source.h"
+#include "platform/http_source.h"
+
+#include <utility>
+
+namespace medlarway
+{
+
+namespace
+{
+
+constexpr std::size_t kRingCapacity = 256;
+
+std::unique_ptr<PlatformSource> makeSource(boost::asio::io_context &context, const Settings &settings, PlatformSink sink)
+{
+    if (settings.platform.address) {
+        HttpSourceOptions options;
+        options.address = *settings.platform.address;
+        options.seed = hostIdOf(settings).value;
+        return makeHttpSource(context, options, std::move(sink));
+    }
+    FileSourceOptions options;
+    options.catalogueFile = settings.platform.catalogueFile;
+    options.hosts = settings.hosts;
+    return makeFileSource(context, options, std::move(sink));
+}
+
+} // namespace
+
+PlatformDuty::PlatformDuty(const Settings &settings, PlatformSink sink)
+    : thread_("platform", kRingCapacity)
+    , source_(makeSource(thread_.context(), settings, std::move(sink)))
+{
+}
+
+PlatformDuty::~PlatformDuty()
+{
+    stop();
+}
+
+void PlatformDuty::start()
+{
+    thread_.hand([this] { source_->start(); });
+    thread_.start();
+}
+
+void PlatformDuty::setWatchedKeys(std::vector<WatchedKey> keys)
+{
+    thread_.hand([this, keys = std::move(keys)] { source_->setWatchedKeys(keys); });
+}
+
+std::string PlatformDuty::stateAsJson()
+{
+    return thread_.ask<std::string>([this] { return source_->stateAsJson(); }, R"({"error":"the platform thread does not answer"})");
+}
+
+void PlatformDuty::stop()
+{
+    thread_.ask<bool>(
+        [this] {
+            source_->stop();
+            return true;
+        },
+        false);
+    thread_.stop();
+}
+
+} // namespace medlarway
