--- a/src/proxy/http_exchange.cpp
+++ b/src/proxy/http_exchange.cpp
@@ -309,7 +309,7 @@
             co_return co_await answerError(mayHaveRun_ ? ErrorKind::DeadlinePassed : ErrorKind::DeadlineUnreachable, Duration::zero());
         }
         if (refusal_) {
-            co_return co_await answerError(refusal_->kind, refusal_->retryAfter);
+            co_return co_await answerError(refusal_->kind, std::max(refusal_->retryAfter, shedFor_));
         }
 
         // Step 2. Try the upstream.
@@ -324,6 +324,7 @@
         }
         const auto end = co_await attempt(upstream);
         mayHaveRun_ = mayHaveRun_ || end.result == AttemptResult::Lost;
+        shedFor_ = std::max(shedFor_, end.retryAfter);
         runner_.finish(id_, end.result, end.retryAfter);
 
         // Step 3. The dispatcher tries again what its class allows; the rest ends here.
--- a/src/proxy/http_exchange.h
+++ b/src/proxy/http_exchange.h
@@ -98,6 +98,7 @@
     std::optional<Endpoint> start_;
     std::optional<Refusal> refusal_;
     Endpoint upstream_;
+    Duration shedFor_{0}; ///< the longest Retry-After that an upstream gave
     bool delivered_ = false; ///< a byte of this attempt may have reached the upstream
     bool mayHaveRun_ = false; ///< an attempt was lost
     bool answerBegan_ = false; ///< a byte of an answer went to the caller
