membership: no claim is spent on a host that does not answer

Change: claims ride only on messages to hosts that answer; suspects are probed apart from the round and asked for no relay; a message takes up to four times as many claims while hundreds wait; nothing is searched while nobody is suspect.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -15,6 +15,11 @@
 // Chunks that a host tells in one probe interval, so that a fleet that restarts can't flood it.
 constexpr std::uint32_t kSyncRepliesPerInterval = 4;
 
+// While many claims wait, as after the loss of a zone, a message takes this share of them, up to
+// a multiple of the usual number.
+constexpr std::uint32_t kCrowdedRounds = 8;
+constexpr std::uint32_t kCrowdedFactor = 4;
+
 // A returned host causes a walk over its list where more than this share of the peers is absent:
 // then a cut has healed and gossip alone would take minutes.
 constexpr std::size_t kHealingShare = 8;
@@ -99,11 +104,16 @@
         return message;
     }
     // A host that is held for suspect or removed learns it here first, and refutes.
-    const bool held = peer->isSuspect() || (!peer->isMember() && peer->life.incarnation > 0);
-    if (held || correct) {
+    const bool silent = peer->isSuspect() || !peer->isMember();
+    if (correct || (silent && peer->life.incarnation > 0)) {
         message.updates.push_back(MembershipUpdate{to, peer->life.incarnation, PeerClaim::Suspect, false});
     }
-    queue.take(options.updatesPerMessage - message.updates.size(), rounds(options.retransmitFactor), message.updates);
+    // Claims are sent a bounded number of times: none is spent on a host that does not answer.
+    if (!silent) {
+        const auto waiting = static_cast<std::uint32_t>(queue.size()) / kCrowdedRounds;
+        const auto limit = std::clamp(waiting, options.updatesPerMessage, options.updatesPerMessage * kCrowdedFactor);
+        queue.take(limit, rounds(options.retransmitFactor), message.updates);
+    }
     return message;
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -34,7 +34,7 @@
     Duration freshWait = std::chrono::seconds{3}; ///< how long a host waits for its peers to confirm its view
     Duration syncInterval = std::chrono::seconds{5}; ///< between two requests that repair what gossip missed
     std::uint32_t indirectProbes = 3; ///< hosts that are asked to probe one that did not answer
-    std::uint32_t updatesPerMessage = 6; ///< the most claims that ride on a probe or its answer
+    std::uint32_t updatesPerMessage = 6; ///< claims that ride on a probe or its answer; up to four times as many after a mass failure
     std::uint32_t suspicionRounds = 2; ///< a suspect has this times log2(hosts) probe intervals to refute
     std::uint32_t retransmitFactor = 3; ///< a claim is sent this times log2(hosts) times
 };
--- a/src/membership/membership_tick.cpp
+++ b/src/membership/membership_tick.cpp
@@ -154,11 +154,12 @@
 
 void Membership::Impl::startProbe(Time now, Outbox<MembershipMessage> &outbox)
 {
-    const auto isMember = [this](HostId host) {
+    // Suspects have probes of their own.
+    const auto isWanted = [this](HostId host) {
         const auto *peer = table.find(host);
-        return peer != nullptr && peer->isMember();
+        return peer != nullptr && peer->isMember() && !peer->isSuspect();
     };
-    auto target = memberOrder.next(isMember);
+    auto target = memberOrder.next(isWanted);
     if (target == HostId{}) {
         std::vector<HostId> members;
         for (const auto &[id, peer] : table.peers()) {
@@ -167,7 +168,7 @@
             }
         }
         memberOrder.fill(std::move(members), random);
-        target = memberOrder.next(isMember);
+        target = memberOrder.next(isWanted);
     }
     if (target == HostId{}) {
         return;
@@ -181,15 +182,15 @@
 // A suspect gets a further chance in each interval, which also tells it what to refute.
 void Membership::Impl::probeSuspect(Outbox<MembershipMessage> &outbox)
 {
+    if (table.suspectCount() == 0) {
+        return;
+    }
     std::vector<HostId> suspects;
     for (const auto &[id, peer] : table.peers()) {
         if (peer.isSuspect()) {
             suspects.push_back(id);
         }
     }
-    if (suspects.empty()) {
-        return;
-    }
     const auto host = suspects[random.below(suspects.size())];
     auto message = compose(MembershipMessageKind::Probe, host, false);
     message.sequence = ++sequence;
@@ -204,7 +205,7 @@
         return peer != nullptr && !peer->isMember();
     };
     auto host = absentOrder.next(isAbsent);
-    if (host == HostId{}) {
+    if (host == HostId{} && table.memberCount() < table.peers().size()) {
         std::vector<HostId> absent;
         for (const auto &[id, peer] : table.peers()) {
             if (!peer.isMember()) {
@@ -277,21 +278,16 @@
     outbox.push_back({sync->peer, std::move(message)});
 }
 
-// A random peer; HostId{} where there is none.
+// A random peer, or a random member that is not suspect; HostId{} where there is none.
 HostId Membership::Impl::randomPeer(bool membersOnly)
 {
+    const auto isWanted
+        = [membersOnly](const auto &entry) { return !membersOnly || (entry.second.isMember() && !entry.second.isSuspect()); };
     const auto &peers = table.peers();
-    const auto wanted = membersOnly ? table.memberCount() : peers.size();
-    if (wanted == 0) {
-        return HostId{};
-    }
-    auto skip = random.below(wanted);
-    for (const auto &[id, peer] : peers) {
-        if (membersOnly && !peer.isMember()) {
-            continue;
-        }
-        if (skip-- == 0) {
-            return id;
+    auto skip = random.below(static_cast<std::uint64_t>(std::count_if(peers.begin(), peers.end(), isWanted)));
+    for (const auto &entry : peers) {
+        if (isWanted(entry) && skip-- == 0) {
+            return entry.first;
         }
     }
     return HostId{};
--- a/src/membership/peer_table.cpp
+++ b/src/membership/peer_table.cpp
@@ -82,6 +82,9 @@
 std::vector<HostId> PeerTable::expire(Time now)
 {
     std::vector<HostId> removed;
+    if (suspectCount_ == 0) {
+        return removed;
+    }
     for (auto &[id, peer] : peers_) {
         if (!peer.isSuspect() || peer.suspectUntil > now) {
             continue;
@@ -139,6 +142,7 @@
         --memberCount_;
     }
     const bool wasSuspect = before == PeerPhase::Suspect || before == PeerPhase::LeavingSuspect;
+    suspectCount_ = suspectCount_ + (peer.isSuspect() ? 1 : 0) - (wasSuspect ? 1 : 0);
     if (after == PeerPhase::Absent) {
         addNews(expired ? MembershipNewsKind::Removed : MembershipNewsKind::Left, host, peer.zone);
     } else if (peer.isSuspect()) {
--- a/src/membership/peer_table.h
+++ b/src/membership/peer_table.h
@@ -72,6 +72,12 @@
         return memberCount_;
     }
 
+    /// How many members are suspect.
+    std::size_t suspectCount() const
+    {
+        return suspectCount_;
+    }
+
     /// The changes since the last call.
     std::vector<MembershipNews> takeNews();
 
@@ -91,6 +97,7 @@
     std::set<AvailabilityZone> lostZones_;
     std::vector<MembershipNews> news_;
     std::size_t memberCount_ = 0;
+    std::size_t suspectCount_ = 0;
     bool selfListedLeaving_ = false;
     bool changed_ = true;
 };
