--- a/src/proxy/service_runner.cpp
+++ b/src/proxy/service_runner.cpp
@@ -60,7 +60,6 @@
         auto opened = std::make_shared<DatagramService>(*this);
         error = opened->open(address);
         if (!error) {
-            opened->setView(viewOrSelf());
             datagrams_ = std::move(opened);
         }
     } else {
@@ -92,6 +91,9 @@
         closing->close();
         logEvent(Event::ServiceClosed, {field("service", service_->name)});
     }
+    if (datagrams_) {
+        datagrams_->refuseNewFlows();
+    }
 }
 
 // A moved service listens at its new address before the old one is closed.
@@ -118,29 +120,15 @@
 
 void ServiceRunner::setView(const View &view)
 {
-    view_ = view;
     dispatcher_.setView(view, currentTime(), decisions_);
-    if (datagrams_) {
-        datagrams_->setView(view);
-    }
     apply();
 }
 
-// A host without a view is alone.
-View ServiceRunner::viewOrSelf() const
-{
-    const auto &options = thread_.options();
-    return view_.value_or(View{0, {Member{options.self, options.zone, HostState::Alive, 0}}});
-}
-
 void ServiceRunner::retire()
 {
     if (!retired_) {
         retired_ = true;
         closeListener();
-        if (datagrams_) {
-            datagrams_->refuseNewFlows();
-        }
         pool_.clear();
     }
 }
@@ -152,9 +140,6 @@
     }
     drainBegan_ = currentTime();
     closeListener();
-    if (datagrams_) {
-        datagrams_->beginLeave();
-    }
     const std::vector<CallerConnection *> open(connections_.begin(), connections_.end());
     for (auto *connection : open) {
         connection->beginDrain();
@@ -216,7 +201,7 @@
 
 bool ServiceRunner::idle() const
 {
-    return connections_.empty() && (!datagrams_ || datagrams_->finished());
+    return connections_.empty() && (!datagrams_ || datagrams_->openFlows() == 0);
 }
 
 Endpoint ServiceRunner::listeningOn() const
@@ -251,17 +236,10 @@
     apply();
 }
 
-void ServiceRunner::receive(HostId from, const FlowMessage &message)
-{
-    if (datagrams_) {
-        datagrams_->receive(from, message);
-    }
-}
-
-void ServiceRunner::deliverRelayed(const RelayedDatagram &datagram)
+void ServiceRunner::deliverRelayed(HostId from, const RelayedDatagram &datagram)
 {
     if (datagrams_) {
-        datagrams_->deliverRelayed(datagram);
+        datagrams_->deliverRelayed(from, datagram);
     }
 }
 
--- a/src/proxy/service_runner.h
+++ b/src/proxy/service_runner.h
@@ -68,8 +68,7 @@
     std::string stateAsJson() const;
     std::vector<std::string> explain(const std::string &path, const Endpoint &caller) const;
     void receive(HostId from, const SlotMessage &message);
-    void receive(HostId from, const FlowMessage &message);
-    void deliverRelayed(const RelayedDatagram &datagram);
+    void deliverRelayed(HostId from, const RelayedDatagram &datagram);
 
     // For its connections.
 
@@ -90,7 +89,6 @@
 private:
     void openListener();
     void closeListener();
-    View viewOrSelf() const;
     void onAccepted(tcp::socket socket);
     void apply();
     void scheduleTick();
@@ -112,7 +110,6 @@
     AnswerStore answers_;
     bool retired_ = false;
     std::optional<Time> drainBegan_;
-    std::optional<View> view_;
 };
 
 } // namespace medlarway
