--- a/src/proxy/datagram_service.cpp
+++ b/src/proxy/datagram_service.cpp
@@ -4,6 +4,7 @@
 #include "base/hash.h"
 #include "proxy/service_runner.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <sys/socket.h>
 
@@ -19,21 +20,36 @@
 constexpr int kDatagramsPerTurn = 64;
 constexpr int kReceiveBufferBytes = 4 << 20;
 
+// Datagrams of one flow that wait for the flow's owner to be found.
+constexpr std::size_t kHeldPerFlow = 16;
+
+FlowSettings flowSettings(const ServiceRunner &runner, const ProxyOptions &options)
+{
+    FlowSettings result;
+    result.flowLimit = options.flows;
+    result.idleTimeout = runner.service().limits.idleTimeout;
+    return result;
+}
+
 } // namespace
 
 struct DatagramService::Flow {
     Endpoint caller;
     Endpoint upstream;
     udp::socket socket;
-    Time lastUsed;
+    bool counted = false; ///< by the dispatcher, as an open connection
 };
 
 DatagramService::DatagramService(ServiceRunner &runner)
     : runner_(runner)
+    , service_(runner.service().address)
     , socket_(runner.thread().context())
+    , router_(runner.thread().options().self, flowSettings(runner, runner.thread().options()), currentTime())
 {
 }
 
+DatagramService::~DatagramService() = default;
+
 ErrorCode DatagramService::open(const Endpoint &address)
 {
     ErrorCode error;
@@ -59,12 +75,24 @@
     return error;
 }
 
+void DatagramService::setView(const View &view)
+{
+    const auto self = runner_.thread().options().self;
+    hasPeers_ = std::any_of(view.members.begin(), view.members.end(),
+                            [self](const Member &member) { return member.id != self && member.state != HostState::Leaving; });
+    router_.setView(view, currentTime());
+    applyDecisions();
+}
+
 void DatagramService::refuseNewFlows()
 {
     newFlows_ = false;
-    if (flows_.empty()) {
-        stop();
-    }
+}
+
+void DatagramService::beginLeave()
+{
+    leaving_ = true;
+    router_.beginLeave(currentTime());
 }
 
 void DatagramService::stop()
@@ -73,6 +101,7 @@
         return;
     }
     stopped_ = true;
+    held_.clear();
     while (!flows_.empty()) {
         closeFlow(flows_.begin()->first, false);
     }
@@ -82,14 +111,13 @@
 
 void DatagramService::sweep(Time now)
 {
-    std::vector<Endpoint> silent;
-    for (const auto &[caller, flow] : flows_) {
-        if (now - flow->lastUsed > runner_.service().limits.idleTimeout) {
-            silent.push_back(caller);
-        }
+    if (stopped_) {
+        return;
     }
-    for (const auto &caller : silent) {
-        closeFlow(caller, false);
+    const auto next = router_.nextTick();
+    if (next && *next <= now) {
+        router_.tick(now, outbox_, decisions_);
+        applyDecisions();
     }
     if (!newFlows_ && flows_.empty()) {
         stop();
@@ -101,6 +129,12 @@
     return flows_.size();
 }
 
+// Flows that other hosts have taken over need this host no more.
+bool DatagramService::finished() const
+{
+    return flows_.empty() || stopped_ || (leaving_ && hasPeers_ && router_.handedOver());
+}
+
 Endpoint DatagramService::address() const
 {
     ErrorCode error;
@@ -108,6 +142,11 @@
     return error ? Endpoint{} : endpointFrom(local);
 }
 
+FlowKey DatagramService::keyOf(const Endpoint &caller) const
+{
+    return FlowKey{caller, service_};
+}
+
 void DatagramService::waitToReceive()
 {
     socket_.async_wait(udp::socket::wait_read, [self = shared_from_this()](const ErrorCode &error) {
@@ -129,7 +168,7 @@
         }
         // Other errors tell of answers that a caller refused; the next datagram is not concerned.
         if (!error) {
-            onCallerDatagram(endpointFrom(from), scratch.first(size));
+            onCallerDatagram(endpointFrom(from), 0, scratch.first(size));
         }
     }
     if (!stopped_) {
@@ -137,50 +176,164 @@
     }
 }
 
-void DatagramService::onCallerDatagram(const Endpoint &caller, std::span<const char> payload)
+// The router decides on this datagram at once; it may also decide on others that wait.
+void DatagramService::onCallerDatagram(const Endpoint &caller, std::uint8_t hops, std::span<const char> payload)
+{
+    if (stopped_) {
+        return;
+    }
+    const auto key = keyOf(caller);
+    router_.onPacket(key, hops, currentTime(), outbox_, decisions_);
+    const auto own = std::find_if(decisions_.packets.rbegin(), decisions_.packets.rend(),
+                                  [&key](const auto &decision) { return decision.key == key; });
+    if (own != decisions_.packets.rend()) {
+        const auto decision = *own;
+        decisions_.packets.erase(std::next(own).base());
+        carry(decision, hops, payload);
+    }
+    applyDecisions();
+}
+
+// Sends what the router wants sent, and ends what it has decided to.
+void DatagramService::applyDecisions()
+{
+    const auto decided = std::exchange(decisions_, FlowDecisions{});
+    const auto messages = std::exchange(outbox_, {});
+    for (const auto &decision : decided.packets) {
+        releaseHeld(decision);
+    }
+    for (const auto &binding : decided.released) {
+        closeFlow(binding.caller, false);
+    }
+    const auto &send = runner_.thread().ports().sendFlowMessage;
+    if (send) {
+        for (const auto &outgoing : messages) {
+            send(runner_.service().name, outgoing.to, outgoing.message);
+        }
+    }
+}
+
+void DatagramService::carry(const FlowDecision &decision, std::uint8_t hops, std::span<const char> payload)
+{
+    switch (decision.action) {
+    case FlowAction::Forward:
+        forward(decision.key.caller, decision.upstream, payload);
+        break;
+    case FlowAction::New:
+        startFlow(decision, payload);
+        break;
+    case FlowAction::Relay:
+        relay(decision, hops, payload);
+        break;
+    case FlowAction::Hold:
+        hold(decision.key.caller, hops, payload);
+        break;
+    case FlowAction::Drop:
+        reportError(decision.error, runner_.service().name);
+        break;
+    }
+}
+
+void DatagramService::hold(const Endpoint &caller, std::uint8_t hops, std::span<const char> payload)
+{
+    auto &waiting = held_[caller];
+    if (waiting.size() >= kHeldPerFlow) {
+        count(Counter::DatagramsDropped);
+        return;
+    }
+    waiting.push_back(HeldDatagram{hops, std::string(payload.data(), payload.size())});
+}
+
+// The first datagram may open the flow; the ones behind it follow to the same upstream.
+void DatagramService::releaseHeld(const FlowDecision &decision)
+{
+    const auto found = held_.find(decision.key.caller);
+    if (found == held_.end()) {
+        return;
+    }
+    const auto waiting = std::move(found->second);
+    held_.erase(found);
+    for (std::size_t index = 0; index < waiting.size(); ++index) {
+        const auto &datagram = waiting[index];
+        if (index > 0 && decision.action == FlowAction::New) {
+            onCallerDatagram(decision.key.caller, datagram.hops, datagram.payload);
+        } else {
+            carry(decision, datagram.hops, datagram.payload);
+        }
+    }
+}
+
+void DatagramService::startFlow(const FlowDecision &decision, std::span<const char> payload)
+{
+    const auto upstream = newFlows_ ? runner_.openConnection(decision.hint) : std::nullopt;
+    if (!upstream) {
+        count(Counter::FlowsRefused);
+        return;
+    }
+    const auto error = router_.bind(decision.key, *upstream, currentTime());
+    if (error) {
+        runner_.closeConnection(*upstream, false);
+        reportError(*error, runner_.service().name);
+        return;
+    }
+    count(Counter::FlowsOpened);
+    openSocket(decision.key.caller, *upstream, true);
+    forward(decision.key.caller, *upstream, payload);
+}
+
+void DatagramService::forward(const Endpoint &caller, const Endpoint &upstream, std::span<const char> payload)
 {
     const auto found = flows_.find(caller);
-    const auto flow = found != flows_.end() ? found->second : openFlow(caller);
+    if (found != flows_.end() && found->second->upstream != upstream) {
+        closeFlow(caller, false);
+    }
+    const auto open = flows_.find(caller);
+    const auto flow = open != flows_.end() ? open->second : openSocket(caller, upstream, false);
     if (!flow) {
+        count(Counter::DatagramsDropped);
         return;
     }
-    flow->lastUsed = currentTime();
     ErrorCode error;
     flow->socket.send(asio::buffer(payload.data(), payload.size()), 0, error);
     count(error ? Counter::DatagramsDropped : Counter::DatagramsForwarded);
 }
 
-std::shared_ptr<DatagramService::Flow> DatagramService::openFlow(const Endpoint &caller)
+void DatagramService::relay(const FlowDecision &decision, std::uint8_t hops, std::span<const char> payload)
 {
-    if (!newFlows_) {
-        count(Counter::DatagramsDropped);
-        return nullptr;
-    }
-    if (flows_.size() >= runner_.thread().options().flows) {
-        reportError(ErrorKind::FlowTableFull, runner_.service().name);
-        return nullptr;
+    const auto &send = runner_.thread().ports().relayDatagram;
+    if (!fitsRelay(payload.size())) {
+        reportError(ErrorKind::DatagramTooLarge, runner_.service().name);
+        return;
     }
-    const auto upstream = runner_.openConnection(std::hash<Endpoint>{}(caller));
-    if (!upstream) {
-        count(Counter::FlowsRefused);
-        return nullptr;
+    if (!send) {
+        count(Counter::DatagramsDropped);
+        return;
     }
-    auto flow = std::make_shared<Flow>(Flow{caller, *upstream, udp::socket(runner_.thread().context()), currentTime()});
+    const auto onward = static_cast<std::uint8_t>(hops + 1);
+    send(decision.host, RelayedDatagram{decision.key.caller, service_, onward, std::string(payload.data(), payload.size())});
+    count(Counter::DatagramsRelayed);
+}
+
+// A flow that was taken over from another host is bound already and is not counted by this host's dispatcher.
+std::shared_ptr<DatagramService::Flow> DatagramService::openSocket(const Endpoint &caller, const Endpoint &upstream, bool counted)
+{
+    auto flow = std::make_shared<Flow>(Flow{caller, upstream, udp::socket(runner_.thread().context()), counted});
     ErrorCode error;
     flow->socket.open(udp::v4(), error);
     if (!error) {
-        flow->socket.connect(udpEndpointOf(*upstream), error);
+        flow->socket.connect(udpEndpointOf(upstream), error);
     }
     if (!error) {
         flow->socket.non_blocking(true, error);
     }
     if (error) {
-        runner_.closeConnection(*upstream, false);
         reportError(ErrorKind::FlowTableFull, error.message());
+        if (counted) {
+            runner_.closeConnection(upstream, false);
+        }
         return nullptr;
     }
     flows_.emplace(caller, flow);
-    count(Counter::FlowsOpened);
     waitForAnswer(flow);
     return flow;
 }
@@ -206,10 +359,11 @@
         }
         if (error) {
             // The upstream's host says that nobody listens: the flow ends, its next datagram opens a new one.
+            router_.forget(keyOf(flow->caller));
             closeFlow(flow->caller, true);
             return;
         }
-        flow->lastUsed = currentTime();
+        router_.touch(keyOf(flow->caller), currentTime());
         socket_.send_to(asio::buffer(scratch.data(), size), udpEndpointOf(flow->caller), 0, error);
         count(error ? Counter::DatagramsDropped : Counter::DatagramsForwarded);
     }
@@ -224,22 +378,28 @@
     }
     const auto flow = found->second;
     flows_.erase(found);
-    runner_.closeConnection(flow->upstream, failed);
+    if (flow->counted) {
+        runner_.closeConnection(flow->upstream, failed);
+    }
     ErrorCode error;
     flow->socket.close(error);
 }
 
-void DatagramService::deliverRelayed(HostId /*from*/, const RelayedDatagram &datagram)
+void DatagramService::receive(HostId from, const FlowMessage &message)
 {
-    if (datagram.payload.size() > kRelayedPayloadBytes) {
-        reportError(ErrorKind::DatagramTooLarge, runner_.service().name);
-        return;
+    if (!stopped_) {
+        router_.receive(from, message, currentTime(), outbox_, decisions_);
+        applyDecisions();
     }
-    if (datagram.hops > kRelayHops) {
-        reportError(ErrorKind::HopLimit, runner_.service().name);
+}
+
+void DatagramService::deliverRelayed(const RelayedDatagram &datagram)
+{
+    if (!fitsRelay(datagram.payload.size())) {
+        reportError(ErrorKind::DatagramTooLarge, runner_.service().name);
         return;
     }
-    onCallerDatagram(datagram.caller, std::span(datagram.payload.data(), datagram.payload.size()));
+    onCallerDatagram(datagram.caller, datagram.hops, datagram.payload);
 }
 
 } // namespace medlarway
--- a/src/proxy/engine.cpp
+++ b/src/proxy/engine.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <future>
+#include <unordered_map>
 
 namespace medlarway
 {
@@ -32,6 +33,8 @@
     ProxyOptions options;
     ProxyPorts ports;
     std::vector<std::unique_ptr<DataThread>> threads;
+    /// Datagram services by the address that relays name them with.
+    std::atomic<std::shared_ptr<const std::unordered_map<Endpoint, std::string>>> datagramServices;
 
     DataThread &threadOf(const std::string &service)
     {
@@ -68,10 +71,15 @@
 void ProxyEngine::applyCatalogue(const std::shared_ptr<const Catalogue> &catalogue)
 {
     std::vector<std::vector<Service>> parts(impl_->threads.size());
+    auto datagramServices = std::make_shared<std::unordered_map<Endpoint, std::string>>();
     for (auto &service : allServices(*catalogue)) {
+        if (service.kind == ServiceKind::Datagram) {
+            datagramServices->emplace(service.address, service.name);
+        }
         auto &part = parts[hashBytes(service.name) % parts.size()];
         part.push_back(std::move(service));
     }
+    impl_->datagramServices.store(std::move(datagramServices));
     for (std::size_t index = 0; index < parts.size(); ++index) {
         impl_->threads[index]->replaceServices(std::make_shared<const std::vector<Service>>(std::move(parts[index])));
     }
@@ -94,12 +102,28 @@
     });
 }
 
-void ProxyEngine::deliverRelayedDatagram(HostId from, const RelayedDatagram &datagram)
+void ProxyEngine::deliverFlowMessage(const std::string &service, HostId from, const FlowMessage &message)
 {
-    auto &thread = impl_->threadOf(datagram.service);
-    thread.hand([&thread, from, datagram] {
-        if (auto *runner = thread.find(datagram.service)) {
-            runner->deliverRelayed(from, datagram);
+    auto &thread = impl_->threadOf(service);
+    thread.hand([&thread, service, from, message] {
+        if (auto *runner = thread.find(service)) {
+            runner->receive(from, message);
+        }
+    });
+}
+
+void ProxyEngine::deliverRelayedDatagram(HostId /*from*/, const RelayedDatagram &datagram)
+{
+    const auto services = impl_->datagramServices.load();
+    const auto named = services ? services->find(datagram.service) : std::unordered_map<Endpoint, std::string>::const_iterator{};
+    if (!services || named == services->end()) {
+        count(Counter::DatagramsDropped);
+        return;
+    }
+    auto &thread = impl_->threadOf(named->second);
+    thread.hand([&thread, name = named->second, datagram] {
+        if (auto *runner = thread.find(name)) {
+            runner->deliverRelayed(datagram);
         }
     });
 }
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -4,8 +4,10 @@
 #include "base/host.h"
 #include "base/time.h"
 #include "catalogue/service.h"
+#include "flows/flow_message.h"
+#include "flows/relay.h"
+#include "guard/key_guard.h"
 #include "guard/verdict.h"
-#include "proxy/relayed_datagram.h"
 
 #include <chrono>
 #include <cstddef>
@@ -41,12 +43,13 @@
 /// What the data path asks of the cluster. Every function may be empty: the host then decides alone.
 /// They are called on data threads and must not block; a reply may be called on any thread, once.
 struct ProxyPorts {
-    /// Asks whether a protected request with a key may run.
-    std::function<void(const GuardKey &key, Duration window, Time deadline, std::function<void(GuardVerdict)> reply)> askGuard;
-    /// A request that was let run has ended. True: its answer went out whole and is kept here. False: no byte of it
-    /// reached an upstream that ran it. Not called where the outcome is unknown: the key then stays spent.
-    std::function<void(const GuardKey &key, bool ranToTheEnd)> guardFinished;
+    /// Asks whether a protected request with a key may run. `runBefore`: of Run, it is sent before this moment or not at all.
+    std::function<void(const GuardKey &key, Duration window, Time deadline, std::function<void(GuardVerdict, Time runBefore)> reply)>
+        askGuard;
+    /// Called once for each Run. The same key may then be asked for again.
+    std::function<void(const GuardKey &key, RunResult result)> guardFinished;
     std::function<void(const std::string &service, HostId to, const SlotMessage &message)> sendSlotMessage;
+    std::function<void(const std::string &service, HostId to, const FlowMessage &message)> sendFlowMessage;
     std::function<void(HostId to, const RelayedDatagram &datagram)> relayDatagram;
 };
 
@@ -69,6 +72,9 @@
     /// A message of another host's dispatcher of the service.
     void deliverSlotMessage(const std::string &service, HostId from, const SlotMessage &message);
 
+    /// A message of another host's flow router of the service.
+    void deliverFlowMessage(const std::string &service, HostId from, const FlowMessage &message);
+
     /// A datagram that another host handed over.
     void deliverRelayedDatagram(HostId from, const RelayedDatagram &datagram);
 
--- a/src/proxy/http_attempt.cpp
+++ b/src/proxy/http_attempt.cpp
@@ -92,6 +92,10 @@
 asio::awaitable<AttemptEnd> HttpExchange::talk()
 {
     delivered_ = false;
+    if (grantExpired()) {
+        closeSocket(connection_.upstream());
+        co_return AttemptEnd{AttemptResult::ConnectFailed, ErrorKind::GuardUnavailable, Duration::zero()};
+    }
     const bool sent = co_await sendRequest();
     if (!sent && !delivered_) {
         closeSocket(connection_.upstream());
@@ -234,6 +238,7 @@
     const auto &head = parser.get().base();
     if (isShed(head, service_->serviceClass)) {
         count(Counter::UpstreamSheds);
+        delivered_ = false;
         const auto retryAfter = parseRetryAfter(trimmed(viewOf(head[http::field::retry_after])));
         co_return AttemptEnd{AttemptResult::Shed, ErrorKind::UpstreamShed, retryAfter};
     }
@@ -264,7 +269,7 @@
     if (key_
         && runner_.answers().keep(*key_, KeptAnswer{head.result_int(), std::move(fields), std::move(copy_)}, service_->limits.keyWindow,
                                   currentTime())) {
-        settleKey(true);
+        settleKey(RunResult::Ended);
     }
     keepUpstream(parser, framing.kind, body.hasBuffered());
     co_return AttemptEnd{AttemptResult::Answered, ErrorKind::UpstreamLost, Duration::zero()};
--- a/src/proxy/http_connection.h
+++ b/src/proxy/http_connection.h
@@ -75,7 +75,7 @@
     void nextExchange();
 
     /// Where a guard's verdict goes while one is awaited.
-    std::function<void(GuardVerdict)> onVerdict;
+    std::function<void(GuardVerdict, Time runBefore)> onVerdict;
 
 private:
     void onCallerReadable(std::uint64_t watch);
--- a/src/proxy/http_exchange.cpp
+++ b/src/proxy/http_exchange.cpp
@@ -74,8 +74,17 @@
     connection_.signal();
 }
 
-// The whole course of one request.
+// A grant that nothing else has settled is settled here: whoever ends a request early
+// need not think of the guard.
 asio::awaitable<AfterExchange> HttpExchange::run()
+{
+    const auto after = co_await serve();
+    settleKey(delivered_ ? RunResult::MayHaveRun : RunResult::NotRun);
+    co_return after;
+}
+
+// The whole course of one request.
+asio::awaitable<AfterExchange> HttpExchange::serve()
 {
     count(Counter::RequestsStarted);
 
@@ -186,21 +195,23 @@
     if (!ask) {
         co_return runner_.answers().admit(*key_, service_->limits.keyWindow, currentTime());
     }
-    connection_.onVerdict = [this](GuardVerdict verdict) {
+    verdict_.reset();
+    connection_.onVerdict = [this](GuardVerdict verdict, Time runBefore) {
         verdict_ = verdict;
+        runBefore_ = runBefore;
         connection_.signal();
     };
-    const auto deliver
-        = [weak = connection_.weak_from_this(), number = connection_.exchangeNumber(), key = *key_, &thread](GuardVerdict verdict) {
-              thread.hand([weak, number, key, &thread, verdict] {
-                  const auto connection = weak.lock();
-                  if (connection && connection->exchangeNumber() == number && connection->onVerdict) {
-                      connection->onVerdict(verdict);
-                  } else if (verdict == GuardVerdict::Run && thread.ports().guardFinished) {
-                      thread.ports().guardFinished(key, false);
-                  }
-              });
-          };
+    const auto number = connection_.exchangeNumber();
+    const auto deliver = [weak = connection_.weak_from_this(), number, key = *key_, &thread](GuardVerdict verdict, Time runBefore) {
+        thread.hand([weak, number, key, &thread, verdict, runBefore] {
+            const auto connection = weak.lock();
+            if (connection && connection->exchangeNumber() == number && connection->onVerdict) {
+                connection->onVerdict(verdict, runBefore);
+            } else if (verdict == GuardVerdict::Run && thread.ports().guardFinished) {
+                thread.ports().guardFinished(key, RunResult::NotRun);
+            }
+        });
+    };
     ask(*key_, service_->limits.keyWindow, *deadline_, deliver);
     while (!verdict_ && connection_.interrupted() == Interrupt::None) {
         co_await connection_.waitForSignal();
@@ -248,19 +259,25 @@
     co_return whole ? afterAnswer() : AfterExchange::Reset;
 }
 
-// Tells the guard how a request that it let run has ended. Where that is unknown nothing
-// is told, and the key stays spent for its window.
-void HttpExchange::settleKey(bool whole)
+// A grant is a lease: a request that waited past it asks again before it is sent.
+bool HttpExchange::grantExpired() const
+{
+    return granted_ && currentTime() >= runBefore_;
+}
+
+// Tells the guard how a request that it let run has ended. Unless that is not-run, the
+// key stays spent for its window.
+void HttpExchange::settleKey(RunResult result)
 {
     if (!std::exchange(granted_, false)) {
         return;
     }
     const auto &finished = runner_.thread().ports().guardFinished;
-    if (!whole) {
+    if (result == RunResult::NotRun) {
         runner_.answers().release(*key_);
     }
     if (finished) {
-        finished(*key_, whole);
+        finished(*key_, result);
     }
 }
 
@@ -292,13 +309,22 @@
             co_return co_await answerError(mayHaveRun_ ? ErrorKind::DeadlinePassed : ErrorKind::DeadlineUnreachable, Duration::zero());
         }
         if (refusal_) {
-            co_return co_await answerError(refusal_->kind, refusal_->retryAfter);
+            co_return co_await answerError(refusal_->kind, std::max(refusal_->retryAfter, shedFor_));
         }
 
         // Step 2. Try the upstream.
         const auto upstream = *std::exchange(start_, std::nullopt);
+        if (grantExpired()) {
+            settleKey(RunResult::NotRun);
+            const auto refused = co_await passGuard();
+            if (refused) {
+                leaveDispatcher(true);
+                co_return *refused;
+            }
+        }
         const auto end = co_await attempt(upstream);
         mayHaveRun_ = mayHaveRun_ || end.result == AttemptResult::Lost;
+        shedFor_ = std::max(shedFor_, end.retryAfter);
         runner_.finish(id_, end.result, end.retryAfter);
 
         // Step 3. The dispatcher tries again what its class allows; the rest ends here.
@@ -369,7 +395,7 @@
     const auto &row = errorRow(kind);
     const auto outcome = mayHaveRun_ ? Outcome::Unknown : row.outcome;
     if (outcome == Outcome::NotRun) {
-        settleKey(false);
+        settleKey(RunResult::NotRun);
     }
     const auto interrupted = connection_.interrupted();
     if (interrupted == Interrupt::CallerGone || interrupted == Interrupt::Aborted) {
--- a/src/proxy/http_exchange.h
+++ b/src/proxy/http_exchange.h
@@ -41,6 +41,8 @@
     void onRefusal(const Refusal &refusal) override;
 
 private:
+    asio::awaitable<AfterExchange> serve();
+
     // What the request asks for, and what it is refused for.
     std::optional<ErrorKind> plan();
     asio::awaitable<std::optional<ErrorKind>> holdBody();
@@ -48,8 +50,9 @@
     // The key guard.
     asio::awaitable<GuardVerdict> askGuard();
     asio::awaitable<std::optional<AfterExchange>> passGuard();
+    bool grantExpired() const;
     asio::awaitable<AfterExchange> repeatAnswer();
-    void settleKey(bool whole);
+    void settleKey(RunResult result);
 
     // Upstreams, one after the other.
     asio::awaitable<AfterExchange> runDispatched();
@@ -90,10 +93,12 @@
     std::optional<GuardKey> key_;
     std::optional<GuardVerdict> verdict_;
     bool granted_ = false; ///< the guard let it run and waits to hear of its end
+    Time runBefore_ = Time::max(); ///< no byte is sent from this moment on
     RequestId id_ = 0;
     std::optional<Endpoint> start_;
     std::optional<Refusal> refusal_;
     Endpoint upstream_;
+    Duration shedFor_{0}; ///< the longest Retry-After that an upstream gave
     bool delivered_ = false; ///< a byte of this attempt may have reached the upstream
     bool mayHaveRun_ = false; ///< an attempt was lost
     bool answerBegan_ = false; ///< a byte of an answer went to the caller
--- a/src/proxy/service_runner.cpp
+++ b/src/proxy/service_runner.cpp
@@ -60,6 +60,7 @@
         auto opened = std::make_shared<DatagramService>(*this);
         error = opened->open(address);
         if (!error) {
+            opened->setView(viewOrSelf());
             datagrams_ = std::move(opened);
         }
     } else {
@@ -91,9 +92,6 @@
         closing->close();
         logEvent(Event::ServiceClosed, {field("service", service_->name)});
     }
-    if (datagrams_) {
-        datagrams_->refuseNewFlows();
-    }
 }
 
 // A moved service listens at its new address before the old one is closed.
@@ -120,15 +118,29 @@
 
 void ServiceRunner::setView(const View &view)
 {
+    view_ = view;
     dispatcher_.setView(view, currentTime(), decisions_);
+    if (datagrams_) {
+        datagrams_->setView(view);
+    }
     apply();
 }
 
+// A host without a view is alone.
+View ServiceRunner::viewOrSelf() const
+{
+    const auto &options = thread_.options();
+    return view_.value_or(View{0, {Member{options.self, options.zone, HostState::Alive, 0}}});
+}
+
 void ServiceRunner::retire()
 {
     if (!retired_) {
         retired_ = true;
         closeListener();
+        if (datagrams_) {
+            datagrams_->refuseNewFlows();
+        }
         pool_.clear();
     }
 }
@@ -140,6 +152,9 @@
     }
     drainBegan_ = currentTime();
     closeListener();
+    if (datagrams_) {
+        datagrams_->beginLeave();
+    }
     const std::vector<CallerConnection *> open(connections_.begin(), connections_.end());
     for (auto *connection : open) {
         connection->beginDrain();
@@ -201,7 +216,7 @@
 
 bool ServiceRunner::idle() const
 {
-    return connections_.empty() && (!datagrams_ || datagrams_->openFlows() == 0);
+    return connections_.empty() && (!datagrams_ || datagrams_->finished());
 }
 
 Endpoint ServiceRunner::listeningOn() const
@@ -236,10 +251,17 @@
     apply();
 }
 
-void ServiceRunner::deliverRelayed(HostId from, const RelayedDatagram &datagram)
+void ServiceRunner::receive(HostId from, const FlowMessage &message)
+{
+    if (datagrams_) {
+        datagrams_->receive(from, message);
+    }
+}
+
+void ServiceRunner::deliverRelayed(const RelayedDatagram &datagram)
 {
     if (datagrams_) {
-        datagrams_->deliverRelayed(from, datagram);
+        datagrams_->deliverRelayed(datagram);
     }
 }
 
--- a/src/proxy/service_runner.h
+++ b/src/proxy/service_runner.h
@@ -68,7 +68,8 @@
     std::string stateAsJson() const;
     std::vector<std::string> explain(const std::string &path, const Endpoint &caller) const;
     void receive(HostId from, const SlotMessage &message);
-    void deliverRelayed(HostId from, const RelayedDatagram &datagram);
+    void receive(HostId from, const FlowMessage &message);
+    void deliverRelayed(const RelayedDatagram &datagram);
 
     // For its connections.
 
@@ -89,6 +90,7 @@
 private:
     void openListener();
     void closeListener();
+    View viewOrSelf() const;
     void onAccepted(tcp::socket socket);
     void apply();
     void scheduleTick();
@@ -110,6 +112,7 @@
     AnswerStore answers_;
     bool retired_ = false;
     std::optional<Time> drainBegan_;
+    std::optional<View> view_;
 };
 
 } // namespace medlarway
--- /dev/null
+++ b/tests/proxy/http_body_test.cpp
@@ -0,0 +1,136 @@
+#include "proxy/fixture.h"
+
+#include <doctest/doctest.h>
+#include <fstream>
+#include <unistd.h>
+
+using namespace medlarway;
+
+namespace
+{
+
+std::size_t residentBytes()
+{
+    std::size_t pages = 0;
+    std::ifstream("/proc/self/statm") >> pages >> pages;
+    return pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+Service httpService(ServiceClass serviceClass, const Endpoint &upstream)
+{
+    return Fixture::service(ServiceKind::Http, serviceClass, {upstream});
+}
+
+} // namespace
+
+TEST_CASE("a caller that takes a large answer slowly")
+{
+    constexpr std::size_t kBody = 256U << 20U;
+    std::atomic<std::size_t> sent{0};
+    StandIn upstream([&](Wire &wire) {
+        wire.readMessage();
+        wire.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBody) + "\r\n\r\n");
+        const std::string piece(1U << 20U, 'x');
+        while (sent < kBody && wire.send(piece)) {
+            sent += piece.size();
+        }
+    });
+    Fixture fixture;
+    Wire caller(fixture.serve(httpService(ServiceClass::Idempotent, upstream.address())));
+    const auto before = residentBytes();
+    caller.send("GET /pack HTTP/1.1\r\nHost: r\r\n\r\n");
+    CHECK(caller.receive(15) == "HTTP/1.1 200 OK");
+
+    SUBCASE("holds the upstream back instead of filling memory, and gets all of it")
+    {
+        std::size_t last = 0;
+        auto changed = std::chrono::steady_clock::now();
+        REQUIRE(eventually([&] { // the buffers on the way are full once nothing moves any more
+            const auto now = std::chrono::steady_clock::now();
+            changed = sent == last ? changed : now;
+            last = sent;
+            return last > 0 && now - changed > std::chrono::milliseconds{200};
+        }));
+        CHECK(sent < kBody / 2);
+        CHECK(residentBytes() - before < (32U << 20U));
+        std::size_t total = 15;
+        for (auto bytes = caller.receiveSome(); !bytes.empty() && total < kBody; bytes = caller.receiveSome()) {
+            total += bytes.size();
+        }
+        CHECK(total >= kBody);
+    }
+}
+
+TEST_CASE("the body of a request")
+{
+    Fixture fixture;
+    SUBCASE("is asked for by 100 Continue only when the upstream does")
+    {
+        StandIn upstream([](Wire &wire) {
+            const auto head = wire.readMessage(false);
+            wire.send(head.fields.contains("expect") ? "HTTP/1.1 100 Continue\r\n\r\n" : "");
+            const auto body = wire.receive(4);
+            wire.send(answerText("got:" + body));
+        });
+        Wire caller(fixture.serve(httpService(ServiceClass::Protected, upstream.address())));
+        caller.send("POST / HTTP/1.1\r\nHost: r\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+        CHECK(caller.readMessage().status() == 100);
+        caller.send("seam");
+        CHECK(caller.readMessage().body == "got:seam");
+    }
+    SUBCASE("need not be sent where the upstream answers early")
+    {
+        StandIn upstream([](Wire &wire) {
+            wire.readMessage(false);
+            wire.send("HTTP/1.1 403 No\r\nContent-Length: 2\r\n\r\nno");
+        });
+        Wire caller(fixture.serve(httpService(ServiceClass::Protected, upstream.address())));
+        caller.send("POST / HTTP/1.1\r\nHost: r\r\nContent-Length: 10000000\r\n\r\n" + std::string(100'000, 'x'));
+        const auto answer = caller.readMessage();
+        CHECK(answer.status() == 403);
+        CHECK(answer.body == "no");
+        CHECK(answer.fields.at("connection") == "close");
+    }
+}
+
+TEST_CASE("answers of other forms")
+{
+    StandIn upstream([](Wire &wire) {
+        while (true) {
+            const auto request = wire.readMessage();
+            if (request.firstLine.starts_with("HEAD")) {
+                wire.send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n");
+            } else if (request.firstLine.starts_with("GET /none")) {
+                wire.send("HTTP/1.1 204 None\r\n\r\n");
+            } else if (request.firstLine.starts_with("GET /chunks")) {
+                wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nseam\r\n0\r\nTrailer: x\r\n\r\n");
+            } else {
+                wire.send("HTTP/1.1 200 OK\r\n\r\nuntil the end");
+                return;
+            }
+        }
+    });
+    Fixture fixture;
+    Wire caller(fixture.serve(httpService(ServiceClass::Idempotent, upstream.address())));
+    SUBCASE("follow each other on one connection")
+    {
+        caller.send("HEAD / HTTP/1.1\r\nHost: r\r\n\r\n");
+        CHECK(caller.readMessage(false).fields.at("content-length") == "1000");
+        caller.send("GET /none HTTP/1.1\r\nHost: r\r\n\r\n");
+        CHECK(caller.readMessage().status() == 204);
+        caller.send("GET /chunks HTTP/1.1\r\nHost: r\r\n\r\n");
+        CHECK(caller.readMessage().body == "seam");
+        caller.send("GET /close HTTP/1.1\r\nHost: r\r\n\r\n");
+        const auto answer = caller.readMessage();
+        CHECK(answer.body == "until the end");
+        CHECK(answer.whole);
+    }
+    SUBCASE("reach a caller that knows no chunks")
+    {
+        caller.send("GET /chunks HTTP/1.0\r\n\r\n");
+        const auto answer = caller.readMessage();
+        CHECK_FALSE(answer.fields.contains("transfer-encoding"));
+        CHECK(caller.receive(4) == "seam");
+        CHECK(caller.isClosed());
+    }
+}
--- a/tests/proxy/wire.cpp
+++ b/tests/proxy/wire.cpp
@@ -112,6 +112,7 @@
     const auto size = ::recv(socket_, bytes.data(), bytes.size(), 0);
     if (size <= 0) {
         wasReset_ = size < 0 && errno == ECONNRESET;
+        ended_ = size == 0;
         return false;
     }
     buffered_.append(bytes, 0, static_cast<std::size_t>(size));
@@ -197,7 +198,7 @@
 {
     while (fill()) {
     }
-    return !wasReset_ && errno != EAGAIN;
+    return ended_;
 }
 
 void Wire::endSending()
--- a/tests/proxy/wire.h
+++ b/tests/proxy/wire.h
@@ -55,6 +55,7 @@
     int socket_;
     std::string buffered_;
     bool wasReset_ = false;
+    bool ended_ = false;
 };
 
 /// A listening stand-in for an upstream; each connection runs the behaviour on a thread of its own.
