--- a/src/base/endpoint.h
+++ b/src/base/endpoint.h
@@ -15,7 +15,7 @@
     std::uint32_t address = 0;
     std::uint16_t port = 0;
 
-    friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+    friend auto operator<=>(const Endpoint &, const Endpoint &) = default; // NOLINT(modernize-use-nullptr): the check takes <=> for a 0
 };
 
 /// Reads "a.b.c.d:port"; nullopt where the text is anything else. Never throws.
--- a/src/flows/flow_announcer.cpp
+++ b/src/flows/flow_announcer.cpp
@@ -22,6 +22,25 @@
     walkStarted_ = Time{};
 }
 
+void FlowAnnouncer::noteStart(HostId owner)
+{
+    ++starts_[owner];
+}
+
+std::uint8_t FlowAnnouncer::startOf(HostId owner) const
+{
+    const auto found = starts_.find(owner);
+    return found == starts_.end() ? 0 : found->second;
+}
+
+bool FlowAnnouncer::isKnownTo(HostId owner, const FlowEntry &entry) const
+{
+    const bool isOwn = owner == self_ || owner == HostId{};
+    const bool wasTold = owner == entry.told && entry.toldStart == startOf(owner);
+    const bool holdsIt = owner == entry.holder && entry.holderStart == startOf(owner);
+    return isOwn || wasTold || holdsIt;
+}
+
 // Decides whether there is something to do now, and how much.
 bool FlowAnnouncer::beginStep(Time now, std::size_t slotCount)
 {
@@ -51,7 +70,7 @@
 {
     foundAny_ = true;
     --announcesLeft_;
-    const auto holder = entry.place == FlowPlace::Held ? self_ : entry.host;
+    const auto holder = entry.place == FlowPlace::Held ? self_ : entry.holder;
     auto &flows = open_[{owner, holder}];
     flows.push_back({entry.key.caller, entry.key.service, entry.upstream});
     if (flows.size() >= kFlowsPerMessage) {
@@ -61,7 +80,7 @@
 
 void FlowAnnouncer::send(HostId owner, HostId holder, std::vector<FlowBinding> &flows, Outbox<FlowMessage> &outbox)
 {
-    Batch batch{owner, holder, {}};
+    Batch batch{owner, holder, startOf(owner), {}};
     for (const auto &flow : flows) {
         batch.keys.push_back({flow.caller, flow.service});
     }
@@ -84,8 +103,8 @@
     open_.clear();
 }
 
-// Notes that the owner knows these flows. A flow that another host holds is
-// the owner's business from now on: this host forgets it.
+// Notes that the owner knows these flows, unless another holder has come up
+// since they were announced.
 void FlowAnnouncer::taken(HostId owner, std::uint64_t number, FlowTable &table)
 {
     const auto found = sent_.find(number);
@@ -99,10 +118,10 @@
         if (entry == nullptr) {
             continue;
         }
-        if (entry->place == FlowPlace::Held && batch.holder == self_) {
-            entry->host = owner;
-        } else if (entry->place == FlowPlace::Elsewhere && entry->host == batch.holder) {
-            table.erase(*entry);
+        const auto holder = entry->place == FlowPlace::Held ? self_ : entry->holder;
+        if (holder == batch.holder) {
+            entry->told = owner;
+            entry->toldStart = batch.ownerStart;
         }
     }
 }
--- a/src/flows/flow_announcer.h
+++ b/src/flows/flow_announcer.h
@@ -25,6 +25,12 @@
     /// The owners changed, or a flow of another owner was bound: walk the table again.
     void restart();
 
+    /// A host became an owner of flows or was started again: it knows nothing of what it was told before.
+    void noteStart(HostId owner);
+
+    /// How often the host was seen to start; wraps round.
+    std::uint8_t startOf(HostId owner) const;
+
     /// True where every flow is known to its owner.
     bool isSettled() const
     {
@@ -42,15 +48,18 @@
     struct Batch {
         HostId owner;
         HostId holder;
+        std::uint8_t ownerStart = 0;
         std::vector<FlowKey> keys;
     };
 
+    bool isKnownTo(HostId owner, const FlowEntry &entry) const;
     void add(HostId owner, const FlowEntry &entry, Outbox<FlowMessage> &outbox);
     void send(HostId owner, HostId holder, std::vector<FlowBinding> &flows, Outbox<FlowMessage> &outbox);
     void flush(Outbox<FlowMessage> &outbox);
     bool beginStep(Time now, std::size_t slotCount);
 
     HostId self_;
+    std::unordered_map<HostId, std::uint8_t> starts_; ///< how often each owner was seen to start
     std::size_t announcesPerSecond_;
     Duration repeatAfter_;
     bool settled_ = true;
@@ -80,8 +89,7 @@
             continue;
         }
         const HostId owner = ownerOfFlow(*entry);
-        const bool known = owner == self_ || owner == HostId{} || owner == entry->host;
-        if (!known) {
+        if (!isKnownTo(owner, *entry)) {
             add(owner, *entry, outbox);
         }
     }
--- a/src/flows/flow_key.h
+++ b/src/flows/flow_key.h
@@ -13,7 +13,7 @@
     Endpoint caller;
     Endpoint service;
 
-    friend auto operator<=>(const FlowKey &, const FlowKey &) = default;
+    friend auto operator<=>(const FlowKey &, const FlowKey &) = default; // NOLINT(modernize-use-nullptr): the check takes <=> for a 0
 };
 
 /// A hash of the flow, the same on every host. Places the flow and is the hint for its upstream.
--- a/src/flows/flow_packets.cpp
+++ b/src/flows/flow_packets.cpp
@@ -81,7 +81,7 @@
 {
     // Step 1. A flow that this host knows: most packets end here.
     auto *entry = table.find(key);
-    if (entry != nullptr && entry->place == FlowPlace::Elsewhere && !isUsable(entry->host)) {
+    if (entry != nullptr && entry->place == FlowPlace::Elsewhere && !isUsable(entry->holder, entry->upstream)) {
         if (isKnown(entry->upstream)) {
             takeOver(*entry);
         } else {
@@ -90,7 +90,10 @@
         }
     }
     if (entry != nullptr) {
-        entry->lastUsed = coarse(now);
+        // What a host claimed that never came into view is left to expire.
+        if (entry->place == FlowPlace::Held || generations.isMember(entry->holder)) {
+            entry->lastUsed = coarse(now);
+        }
         return decideKnown(*entry, hops, outbox);
     }
     // Step 2. A flow that is being looked up.
@@ -125,11 +128,11 @@
         return isKnown(entry.upstream) ? forwarded(entry) : opened(entry.key);
     }
     if (hops < kRelayHops) {
-        return relayed(entry.key, entry.host);
+        return relayed(entry.key, entry.holder);
     }
     if (!entry.checking) {
         entry.checking = true;
-        outbox.push_back({entry.host, flowMessage(FlowMessageKind::Check, entry.key)});
+        outbox.push_back({entry.holder, flowMessage(FlowMessageKind::Check, entry.key)});
     }
     return dropped(entry.key, ErrorKind::HopLimit);
 }
@@ -158,13 +161,11 @@
 std::vector<HostId> FlowRouter::Impl::possibleHolders(std::uint64_t hash, HostId owner, Time now) const
 {
     std::vector<HostId> hosts;
-    // Step 1. Another owner by this host's own view, where the packet's hops were used up.
-    addOnce(hosts, owner);
-    // Step 2. The owners of earlier generations.
+    // Step 1. The owners of earlier generations.
     for (const auto host : generations.earlierOwners(hash)) {
         addOnce(hosts, host);
     }
-    // Step 3. A freshly started host has no generations: the hosts that would own the flow without it.
+    // Step 2. A freshly started host has no generations: the hosts that would own the flow without it.
     if (now < startedAt + settings.settleTime) {
         std::vector<HostId> others;
         for (const auto &member : generations.current().members) {
@@ -176,17 +177,21 @@
             addOnce(hosts, host);
         }
     }
-    // Step 4. Hosts that can't answer and hosts that have announced all they hold need not be asked.
-    std::erase_if(hosts, [this](HostId host) {
-        const bool hasSettled = std::find(settledHosts.begin(), settledHosts.end(), host) != settledHosts.end();
-        return host == self || hasSettled || !generations.isMember(host);
-    });
+    // Step 3. Hosts that have announced all they hold to their owners need not be asked.
+    std::erase_if(hosts, [this](HostId host) { return std::find(settledHosts.begin(), settledHosts.end(), host) != settledHosts.end(); });
+    // Step 4. The owner, where the packet's hops were used up at this host: nobody announces flows to any other.
+    addOnce(hosts, owner);
+    // Step 5. Hosts that can't answer.
+    std::erase_if(hosts, [this](HostId host) { return host == self || !generations.isMember(host); });
     return hosts;
 }
 
-bool FlowRouter::Impl::isUsable(HostId host) const
+// True where packets can be relayed to the holder. With the upstream known this
+// host goes on itself as soon as the holder is no member. Without it, a holder
+// that isn't a member yet may have joined before the news came here.
+bool FlowRouter::Impl::isUsable(HostId holder, const Endpoint &upstream) const
 {
-    return generations.isMember(host);
+    return generations.isMember(holder) || (!isKnown(upstream) && !generations.isGone(holder));
 }
 
 // Ends a look-up: by the holder that was found, or as a new flow of this host.
@@ -194,7 +199,7 @@
                                  FlowDecisions &decisions)
 {
     const auto lookup = lookups.take(key);
-    const bool holderIsHere = holder == self || (holder != HostId{} && !isUsable(holder));
+    const bool holderIsHere = holder == self || (holder != HostId{} && !isUsable(holder, upstream));
     // Step 1. This host holds it itself without knowing (it was restarted) or the holder is gone: same upstream.
     if (holderIsHere && isKnown(upstream)) {
         auto *entry = table.findOrInsert(key, FlowPlace::Held);
@@ -213,7 +218,7 @@
     if (isFound || !lookup.deferred.empty()) {
         const auto taker = isFound ? holder : *std::min_element(lookup.deferred.begin(), lookup.deferred.end());
         if (auto *entry = table.findOrInsert(key, FlowPlace::Elsewhere); entry != nullptr) {
-            entry->host = taker;
+            setHolder(*entry, taker);
             entry->upstream = upstream;
             entry->lastUsed = coarse(now);
         }
--- a/src/flows/flow_peers.cpp
+++ b/src/flows/flow_peers.cpp
@@ -58,7 +58,7 @@
     // Step 1. A known flow.
     if (auto *entry = table.find(key); entry != nullptr) {
         const bool isHeld = entry->place == FlowPlace::Held;
-        auto answer = flowMessage(FlowMessageKind::Found, key, isHeld ? self : entry->host, entry->upstream);
+        auto answer = flowMessage(FlowMessageKind::Found, key, isHeld ? self : entry->holder, entry->upstream);
         answer.settledFor = settledFor;
         outbox.push_back({from, std::move(answer)});
         return;
@@ -75,8 +75,8 @@
     // Step 3. Unknown. Where this host would count it as new, it is the asker's from now on.
     if (claims && generations.owner(flowHash(key)) == self) {
         if (auto *entry = table.findOrInsert(key, FlowPlace::Elsewhere); entry != nullptr) {
-            entry->host = from;
-            entry->lastUsed = coarse(now);
+            setHolder(*entry, from);
+            entry->lastUsed = generations.isMember(from) ? coarse(now) : almostIdle(now);
         }
     }
     auto answer = flowMessage(FlowMessageKind::Unknown, key);
@@ -116,7 +116,7 @@
         return;
     }
     // Step 2. Only the host that this one takes for the holder is believed about another one.
-    if (entry.host != from && holder != from) {
+    if (entry.holder != from && holder != from) {
         return;
     }
     entry.checking = false;
@@ -125,7 +125,10 @@
         entry.upstream = upstream;
     }
     if (holder != self) {
-        entry.host = holder;
+        if (holder != entry.holder) {
+            setHolder(entry, holder);
+            announcer.restart();
+        }
     } else if (isKnown(entry.upstream)) {
         takeOver(entry);
     } else {
@@ -153,7 +156,7 @@
 void FlowRouter::Impl::receiveNotHeld(HostId from, const FlowKey &key)
 {
     auto *entry = table.find(key);
-    if (entry == nullptr || entry->place != FlowPlace::Elsewhere || entry->host != from) {
+    if (entry == nullptr || entry->place != FlowPlace::Elsewhere || entry->holder != from) {
         return;
     }
     if (isKnown(entry->upstream)) {
@@ -200,9 +203,12 @@
     }
     entry = table.findOrInsert(key, isHere ? FlowPlace::Held : FlowPlace::Elsewhere);
     if (entry != nullptr) {
-        entry->host = isHere ? HostId{} : holder;
+        setHolder(*entry, isHere ? HostId{} : holder);
         entry->upstream = flow.upstream;
         entry->lastUsed = coarse(now);
+        if (generations.owner(flowHash(key)) != self) {
+            announcer.restart();
+        }
     }
 }
 
--- a/src/flows/flow_router.cpp
+++ b/src/flows/flow_router.cpp
@@ -15,18 +15,31 @@
 /// The unit of FlowEntry::lastUsed: four bytes last for 13 years.
 constexpr Duration kCoarseUnit = std::chrono::milliseconds{100};
 
+/// How long a flow is left to a host that has claimed it before it was seen to join.
+constexpr Duration kClaimTimeout = std::chrono::seconds{10};
+
 /// How often bounded steps of expiry and of announcements are made.
 constexpr Duration kStepInterval = std::chrono::milliseconds{50};
 
 /// The whole table is looked at for idle flows in this many steps.
 constexpr std::size_t kExpirySteps = 200;
 
+// True where the view has the member as an owner of flows, in the same incarnation.
+bool hasOwner(const View &view, const Member &owner)
+{
+    return std::any_of(view.members.begin(), view.members.end(), [&owner](const Member &member) {
+        return member.id == owner.id && member.incarnation == owner.incarnation && mayOwn(member);
+    });
+}
+
+// A hash of the owners. It holds their incarnations, so that two hosts agree on
+// it only where neither takes a restarted owner for the one before.
 std::uint64_t placementOf(const View &view)
 {
     std::uint64_t hash = 1;
     for (const auto &member : view.members) {
         if (mayOwn(member)) {
-            hash = combineHash(hash, member.id.value);
+            hash = combineHash(combineHash(hash, member.id.value), member.incarnation);
         }
     }
     return hash;
@@ -59,6 +72,14 @@
     return static_cast<std::uint32_t>((now - startedAt) / kCoarseUnit);
 }
 
+// The moment of last use of an entry that is to expire soon unless it is used:
+// the holder isn't a member yet and may never become one.
+std::uint32_t FlowRouter::Impl::almostIdle(Time now) const
+{
+    const auto left = std::min<Duration>(settings.idleTimeout, kClaimTimeout);
+    return coarse(now) - static_cast<std::uint32_t>((settings.idleTimeout - left) / kCoarseUnit);
+}
+
 // Puts the view that was seen in force. A leaving host takes itself for leaving
 // at once, before the news has come back to it.
 void FlowRouter::Impl::applyView(Time now)
@@ -69,6 +90,11 @@
             member.state = HostState::Leaving;
         }
     }
+    for (const auto &member : view.members) {
+        if (mayOwn(member) && !hasOwner(generations.current(), member)) {
+            announcer.noteStart(member.id);
+        }
+    }
     generations.forgetBefore(now - settings.settleTime);
     generations.add(view, now);
     const auto changed = placementOf(view);
@@ -104,10 +130,10 @@
     if (now - entry.lastUsed < idle) {
         return false;
     }
-    if (entry.place == FlowPlace::Elsewhere && !entry.checking && generations.isMember(entry.host)) {
+    if (entry.place == FlowPlace::Elsewhere && !entry.checking && generations.isMember(entry.holder)) {
         entry.checking = true;
         entry.lastUsed = now - idle + static_cast<std::uint32_t>(settings.askTimeout * 4 / kCoarseUnit) + 1;
-        outbox.push_back({entry.host, flowMessage(FlowMessageKind::Check, entry.key)});
+        outbox.push_back({entry.holder, flowMessage(FlowMessageKind::Check, entry.key)});
         return false;
     }
     if (entry.place == FlowPlace::Held) {
@@ -117,10 +143,17 @@
     return true;
 }
 
+void FlowRouter::Impl::setHolder(FlowEntry &entry, HostId holder)
+{
+    entry.holder = holder;
+    entry.holderStart = announcer.startOf(holder);
+    entry.told = HostId{};
+}
+
 void FlowRouter::Impl::becomeHolder(FlowEntry &entry)
 {
     table.move(entry, FlowPlace::Held);
-    entry.host = HostId{};
+    setHolder(entry, HostId{});
     entry.checking = false;
 }
 
@@ -139,7 +172,7 @@
 {
     decisions.released.push_back({entry.key.caller, entry.key.service, entry.upstream});
     table.move(entry, FlowPlace::Elsewhere);
-    entry.host = holder;
+    setHolder(entry, holder);
     entry.upstream = upstream;
 }
 
@@ -167,7 +200,7 @@
     if (entry->place == FlowPlace::Elsewhere) {
         impl_->table.move(*entry, FlowPlace::Held);
     }
-    entry->host = HostId{};
+    impl_->setHolder(*entry, HostId{});
     entry->upstream = upstream;
     entry->lastUsed = impl_->coarse(now);
     if (impl_->generations.owner(flowHash(key)) != impl_->self) {
@@ -190,7 +223,7 @@
     auto *entry = impl_->table.find(key);
     if (entry != nullptr && entry->place == FlowPlace::Held) {
         entry->upstream = Endpoint{};
-        entry->host = HostId{};
+        entry->told = HostId{};
     }
 }
 
@@ -208,8 +241,7 @@
     impl_->generations.forgetBefore(now - impl_->settings.settleTime);
     impl_->expire(now, outbox, decisions);
     const auto ownerOfFlow = [this](FlowEntry &entry) {
-        const bool holderIsGone = entry.place == FlowPlace::Elsewhere && !impl_->generations.isMember(entry.host);
-        if (holderIsGone && isKnown(entry.upstream)) {
+        if (entry.place == FlowPlace::Elsewhere && isKnown(entry.upstream) && !impl_->generations.isMember(entry.holder)) {
             impl_->becomeHolder(entry);
         }
         return impl_->generations.owner(flowHash(entry.key)).value_or(HostId{});
--- a/src/flows/flow_router_impl.h
+++ b/src/flows/flow_router_impl.h
@@ -33,6 +33,7 @@
 
     // Time and view.
     std::uint32_t coarse(Time now) const;
+    std::uint32_t almostIdle(Time now) const;
     void applyView(Time now);
     void expire(Time now, Outbox<FlowMessage> &outbox, FlowDecisions &decisions);
     bool expireEntry(FlowEntry &entry, std::uint32_t now, Outbox<FlowMessage> &outbox, FlowDecisions &decisions);
@@ -42,7 +43,7 @@
     FlowDecision decideKnown(FlowEntry &entry, std::uint8_t hops, Outbox<FlowMessage> &outbox);
     FlowDecision decideAsOwner(const FlowKey &key, HostId owner, Time now, Outbox<FlowMessage> &outbox);
     std::vector<HostId> possibleHolders(std::uint64_t hash, HostId owner, Time now) const;
-    bool isUsable(HostId host) const;
+    bool isUsable(HostId holder, const Endpoint &upstream) const;
 
     // Look-ups.
     void endLookup(const FlowKey &key, HostId holder, const Endpoint &upstream, Time now, Outbox<FlowMessage> &outbox,
@@ -60,6 +61,7 @@
     void noteSettled(HostId from, const FlowMessage &message);
 
     // Entries.
+    void setHolder(FlowEntry &entry, HostId holder);
     void becomeHolder(FlowEntry &entry);
     void takeOver(FlowEntry &entry);
     void giveWay(FlowEntry &entry, HostId holder, const Endpoint &upstream, FlowDecisions &decisions);
--- a/src/flows/flow_table.h
+++ b/src/flows/flow_table.h
@@ -22,9 +22,12 @@
 struct FlowEntry {
     FlowKey key;
     Endpoint upstream; ///< port 0 where it is not known
-    HostId host; ///< Held: the owner that was told of it, 0 for none; Elsewhere: the holder
+    HostId holder; ///< of a flow elsewhere; else 0
+    HostId told; ///< the owner that was told of the flow; 0 for none
     std::uint32_t lastUsed = 0; ///< in units that the user of the table chooses
     FlowPlace place = FlowPlace::None;
+    std::uint8_t holderStart = 0; ///< which start of the holder has the flow, as the announcer counts them
+    std::uint8_t toldStart = 0; ///< which start of the owner was told
     bool checking = false; ///< Elsewhere: the holder was asked whether it still holds the flow
 };
 
--- a/src/placement/generations.cpp
+++ b/src/placement/generations.cpp
@@ -33,6 +33,12 @@
     if (earlier_.size() > kEarlierCount) {
         earlier_.erase(earlier_.begin());
     }
+    for (const auto &member : current_.members) {
+        gone_.insert(member.id);
+    }
+    for (const auto &member : view.members) {
+        gone_.erase(member.id);
+    }
     current_ = view;
 }
 
@@ -63,4 +69,9 @@
     return std::any_of(current_.members.begin(), current_.members.end(), [host](const Member &member) { return member.id == host; });
 }
 
+bool Generations::isGone(HostId host) const
+{
+    return gone_.contains(host);
+}
+
 } // namespace medlarway
--- a/src/placement/generations.h
+++ b/src/placement/generations.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace medlarway
@@ -39,6 +40,10 @@
     /// True where the host is a member of the current view, in any state.
     bool isMember(HostId host) const;
 
+    /// True where the host was a member of some view and is none of the current one. A host that was never
+    /// seen may have joined without the news having come here.
+    bool isGone(HostId host) const;
+
     /// Earlier generations that are remembered now.
     std::size_t earlierCount() const
     {
@@ -53,6 +58,7 @@
 
     View current_;
     std::vector<Earlier> earlier_; ///< newest last
+    std::set<HostId> gone_;
 };
 
 } // namespace medlarway
