daemon: the decision cores live, in the control duty

Cause: the control duty put a host's own reading of the platform in force; hosts did not know of each other. Change: the control duty drives HostCore on a timer, carries its messages through PeerLink, hands guard verdicts, slot and flow messages to the data path, gives the cores the host list only once every zone's part is there, serves nothing before the peers have told their revisions, reads from the platform only the shards it is a reader of, and tells the peers when it ends. Settings: peers.advertise, guard.window.

--- a/src/cluster/host_core.cpp
+++ b/src/cluster/host_core.cpp
@@ -24,6 +24,7 @@
     result.self = options.self;
     result.zone = options.zone;
     result.readersPerZone = options.readersPerZone;
+    result.startWait = options.startWait;
     result.seed = options.seed;
     return result;
 }
--- a/src/cluster/host_core.h
+++ b/src/cluster/host_core.h
@@ -22,6 +22,7 @@
     std::uint64_t seed = 1; ///< must differ between two starts of any hosts
     GuardSettings guard;
     std::uint32_t readersPerZone = 2; ///< hosts of a zone that read one shard from the platform
+    Duration startWait = std::chrono::seconds{3}; ///< the longest a host that starts waits for its peers' catalogue
 };
 
 /// A message that a peer has for the data path.
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -1,8 +1,10 @@
 #include "daemon/control.h"
 
 #include "base/errors.h"
+#include "base/hash.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace medlarway
@@ -11,31 +13,134 @@
 namespace
 {
 
-constexpr std::size_t kRingCapacity = 1024;
+constexpr std::size_t kRingCapacity = 8192;
+
+Time steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+// Milliseconds of the wall clock: higher after a restart unless the clock went back, which the
+// peers notice and tell.
+std::uint64_t bootNumber()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+HostCoreOptions coreOptions(const Settings &settings, std::uint64_t boot)
+{
+    HostCoreOptions options;
+    options.self = hostIdOf(settings);
+    options.zone = settings.zone;
+    options.incarnation = boot;
+    options.seed = combineHash(options.self.value, boot);
+    options.guard.longestWindow = settings.guard.window;
+    options.guard.silence = settings.guard.window;
+    if (!settings.peers) {
+        options.startWait = Duration{0};
+    }
+    return options;
+}
 
 } // namespace
 
 HostId hostIdOf(const Settings &settings)
 {
-    return hostIdOf(settings.peers ? settings.peers->listen : Endpoint{settings.address, 0});
+    if (!settings.peers) {
+        return hostIdOf(Endpoint{settings.address, 0});
+    }
+    return hostIdOf(settings.peers->advertise.value_or(settings.peers->listen));
 }
 
 ControlDuty::ControlDuty(const Settings &settings, ProxyEngine &engine)
     : settings_(settings)
+    , self_(hostIdOf(settings))
     , engine_(engine)
+    , core_(coreOptions(settings, bootNumber()), steadyNow())
     , thread_("control", kRingCapacity)
+    , timer_(thread_.context())
 {
+    if (settings_.peers) {
+        openPeers(bootNumber());
+    }
+}
+
+void ControlDuty::openPeers(std::uint64_t boot)
+{
+    const auto &peers = *settings_.peers;
+    PeerLinkOptions options;
+    options.self = self_;
+    options.listen = peers.listen;
+    options.keys = loadPeerKeys(peers.keyFile, peers.previousKeyFile);
+    options.boot = boot;
+    options.bytesPerSecond = peers.bytesPerSecond;
+    link_ = std::make_unique<PeerLink>(options, thread_, [this](HostId from, const PeerMessage &message) {
+        step([&](Time now, HostActions &actions) { core_.receive(from, message, now, actions); });
+    });
+    relay_ = std::make_unique<RelayDuty>(self_, peers.listen, boot, options.keys, [this](HostId from, const RelayedDatagram &datagram) {
+        engine_.deliverRelayedDatagram(from, datagram);
+    });
+}
+
+ProxyPorts ControlDuty::ports()
+{
+    ProxyPorts ports;
+    ports.askGuard = [this](const GuardKey &key, Duration window, Time deadline, GuardReply reply) {
+        const bool handed = thread_.hand([this, key, window, deadline, reply] { askGuard(key, window, deadline, reply); });
+        if (!handed) {
+            reply(GuardVerdict::Refused, Time{});
+        }
+    };
+    ports.guardFinished = [this](const GuardKey &key, RunResult result) { thread_.hand([this, key, result] { finishRun(key, result); }); };
+    if (!settings_.peers) {
+        return ports;
+    }
+    ports.sendSlotMessage = [this](const std::string &service, HostId to, const SlotMessage &message) {
+        thread_.hand([this, service, to, message] { link_->send(to, ServiceSlotMessage{service, message}, steadyNow()); });
+    };
+    ports.sendFlowMessage = [this](const std::string &service, HostId to, const FlowMessage &message) {
+        thread_.hand([this, service, to, message] { link_->send(to, ServiceFlowMessage{service, message}, steadyNow()); });
+    };
+    ports.relayDatagram = [this](HostId to, const RelayedDatagram &datagram) { relay_->relay(to, datagram); };
+    return ports;
 }
 
-void ControlDuty::start(WatchKeys watchKeys)
+void ControlDuty::start(WatchKeys watchKeysFunction)
 {
-    watchKeys_ = std::move(watchKeys);
-    const Member self{hostIdOf(settings_), settings_.zone, HostState::Alive, 0};
-    engine_.applyView(std::make_shared<const View>(View{1, {self}}));
-    thread_.hand([this] { watchKeys_({{std::string(kIndexKey), 0}}); });
+    watchKeys_ = std::move(watchKeysFunction);
+    thread_.hand([this] {
+        watchKeys();
+        applyHostLists();
+        step([this](Time now, HostActions &actions) { core_.tick(now, actions); });
+    });
+    if (relay_) {
+        relay_->start();
+    }
     thread_.start();
 }
 
+// Runs one step of the cores and does what they want done, then waits for their next moment.
+void ControlDuty::step(const Step &work)
+{
+    const auto now = steadyNow();
+    HostActions actions;
+    work(now, actions);
+    perform(actions, now);
+    serveWhenReady(now);
+    armTimer();
+}
+
+void ControlDuty::armTimer()
+{
+    timer_.expires_at(core_.nextTick());
+    timer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            step([this](Time now, HostActions &actions) { core_.tick(now, actions); });
+        }
+    });
+}
+
 bool ControlDuty::offer(const PlatformUpdate &update)
 {
     return thread_.hand([this, update] { std::visit([this](const auto &value) { take(value); }, update); });
@@ -43,12 +148,36 @@
 
 void ControlDuty::applySettings(const Settings &settings)
 {
-    thread_.hand([this, settings] { settings_ = settings; });
+    std::optional<PeerKeys> keys;
+    if (settings_.peers && settings.peers) {
+        keys = loadPeerKeys(settings.peers->keyFile, settings.peers->previousKeyFile);
+    }
+    thread_.hand([this, settings, keys] {
+        settings_ = settings;
+        if (link_ && keys) {
+            link_->setRate(settings.peers->bytesPerSecond);
+            link_->setKeys(*keys);
+            relay_->setKeys(*keys);
+        }
+    });
 }
 
 void ControlDuty::beginLeave()
 {
-    thread_.hand([this] { leaving_ = true; });
+    thread_.hand([this] {
+        leaving_ = true;
+        step([this](Time now, HostActions &actions) { core_.leave(now, actions); });
+    });
+}
+
+void ControlDuty::depart()
+{
+    thread_.ask<bool>(
+        [this] {
+            step([this](Time now, HostActions &actions) { core_.depart(now, actions); });
+            return true;
+        },
+        false);
 }
 
 std::shared_ptr<const Catalogue> ControlDuty::catalogueInForce() const
@@ -68,80 +197,79 @@
 
 void ControlDuty::stop()
 {
+    if (relay_) {
+        relay_->stop();
+    }
     thread_.stop();
 }
 
+// A shard that the index no longer names was removed at the index's revision.
 void ControlDuty::take(const PlatformIndex &index)
 {
-    index_ = index;
-    if (store_.keepOnly(index.shards)) {
-        putInForce();
-    }
-    watchAll(index);
+    const auto before = std::exchange(index_, index);
+    step([&](Time now, HostActions &actions) {
+        core_.learnShards(index.shards, actions);
+        for (const auto &shard : before.shards) {
+            if (std::find(index.shards.begin(), index.shards.end(), shard) == index.shards.end()) {
+                core_.removeShard(shard, index.revision, now, actions);
+            }
+        }
+    });
+    watchKeys();
+    applyHostLists();
 }
 
-void ControlDuty::watchAll(const PlatformIndex &index)
+void ControlDuty::take(const CatalogueShard &shard)
 {
-    std::vector<WatchedKey> keys{{std::string(kIndexKey), index.revision}};
-    for (const auto &shard : index.shards) {
-        keys.push_back({shardKey(shard), store_.offeredRevision(shard).value_or(0)});
-    }
-    for (const auto &zone : index.zones) {
-        keys.push_back({hostsKey(zone), 0});
-    }
-    watchKeys_(std::move(keys));
-}
-
-void ControlDuty::take(CatalogueShard shard)
-{
-    const auto name = shard.name;
-    const auto revision = shard.revision;
-    const auto offer = store_.offer(std::move(shard));
-    switch (offer.result) {
-    case OfferResult::Accepted:
-        count(Counter::CatalogueAccepted);
-        putInForce();
-        logEvent(Event::CatalogueAccepted, {field("shard", name), field("revision", revision)});
-        break;
-    case OfferResult::Refused:
-        reportError(ErrorKind::BadCatalogue, faultsOnOneLine(faultsToString(offer.faults, "shard " + name + ": ")));
-        break;
-    case OfferResult::Stale:
-        reportError(ErrorKind::StaleRevision, "shard " + name);
-        break;
-    case OfferResult::Unchanged:
-        break;
+    if (shard.revision < core_.catalogue().shardRevision(shard.name)) {
+        reportError(ErrorKind::StaleRevision, "shard " + shard.name);
     }
+    step([&](Time now, HostActions &actions) { core_.offerShard(shard, now, actions); });
 }
 
 void ControlDuty::take(const HostList &list)
 {
     hostLists_.insert_or_assign(list.zone.name, list);
+    applyHostLists();
+}
+
+// The cores get the list only once it is whole: a key guard that took a part of it for all hosts
+// would find a majority where there is none.
+void ControlDuty::applyHostLists()
+{
+    std::vector<ListedHost> hosts;
+    if (!settings_.platform.address) {
+        hosts = settings_.hosts;
+        if (hosts.empty()) {
+            hosts.push_back({endpointOf(self_), settings_.zone, false});
+        }
+    } else {
+        for (const auto &zone : index_.zones) {
+            const auto found = hostLists_.find(zone);
+            if (found == hostLists_.end()) {
+                return;
+            }
+            hosts.insert(hosts.end(), found->second.hosts.begin(), found->second.hosts.end());
+        }
+    }
+    if (!hosts.empty()) {
+        step([&](Time now, HostActions &actions) { core_.setListed(hosts, now, actions); });
+    }
 }
 
-void ControlDuty::putInForce()
+void ControlDuty::askGuard(const GuardKey &key, Duration window, Time deadline, GuardReply reply)
 {
-    const auto catalogue = store_.inForce();
-    engine_.applyCatalogue(catalogue);
-    inForce_.store(catalogue);
+    step([&](Time now, HostActions &actions) {
+        const auto ask = core_.askGuard(key, window, deadline, now, actions);
+        replies_.await(ask, std::move(reply));
+    });
 }
 
-std::string ControlDuty::dump() const
+void ControlDuty::finishRun(const GuardKey &key, RunResult result)
 {
-    nlohmann::json shards = nlohmann::json::array();
-    for (const auto &shard : store_.inForce()->shards) {
-        shards.push_back({{"name", shard.name}, {"revision", shard.revision}, {"services", shard.services.size()}});
-    }
-    nlohmann::json waiting = nlohmann::json::object();
-    for (const auto &[name, faults] : store_.waiting()) {
-        waiting[name] = faultsToString(faults);
-    }
-    nlohmann::json listed = nlohmann::json::object();
-    for (const auto &[zone, list] : hostLists_) {
-        listed[zone] = {{"revision", list.revision}, {"hosts", list.hosts.size()}};
+    if (const auto ask = replies_.takeRun(key)) {
+        step([&](Time now, HostActions &actions) { core_.finishedRun(*ask, key, result, now, actions); });
     }
-    const nlohmann::json state{{"leaving", leaving_}, {"catalogue", {{"shards", shards}, {"waiting", waiting}}}, {"listedHosts", listed}};
-    return state.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace medlarway
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -59,8 +59,8 @@
     , settings_(settings)
     , signals_(context_, SIGTERM, SIGINT, SIGHUP)
     , drainTimer_(context_)
-    , engine_(proxyOptions(settings), ProxyPorts{})
     , control_(settings, engine_)
+    , engine_(proxyOptions(settings), control_.ports())
     , platform_(settings, [this](const PlatformUpdate &update) { return control_.offer(update); })
     , operator_(settings.operatorListen,
                 [this, ports = operatorPorts()](const std::string &target) { return answerOperator(ports, target); })
@@ -77,7 +77,8 @@
                               field("peers", settings_.peers ? endpointToString(settings_.peers->listen) : "none")});
     awaitSignal();
     context_.run();
-    // Step 2 of the planned stop. Each duty ends before those it calls.
+    // Step 2 of the planned stop. The peers hear of the end; then each duty ends before those it calls.
+    control_.depart();
     operator_.stop();
     platform_.stop();
     control_.stop();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -50,8 +50,8 @@
     boost::asio::signal_set signals_;
     boost::asio::steady_timer drainTimer_;
     // In the order in which they may depend on each other; destroyed the other way round.
+    ControlDuty control_; ///< before the engine, which calls its ports until it ends
     ProxyEngine engine_;
-    ControlDuty control_;
     PlatformDuty platform_;
     OperatorServer operator_;
 };
--- /dev/null
+++ b/src/daemon/guard_replies.cpp
@@ -0,0 +1,39 @@
+#include "daemon/guard_replies.h"
+
+#include "base/counters.h"
+
+#include <utility>
+
+namespace medlarway
+{
+
+void GuardReplies::await(AskId ask, GuardReply reply)
+{
+    waiting_.insert_or_assign(ask, std::move(reply));
+}
+
+void GuardReplies::deliver(const GuardDecision &decision)
+{
+    auto found = waiting_.extract(decision.ask);
+    if (!found) {
+        return;
+    }
+    if (decision.verdict == GuardVerdict::Run) {
+        runs_.insert_or_assign(decision.key, decision.ask);
+        count(Counter::GuardGrants);
+    }
+    found.mapped()(decision.verdict, decision.runBefore);
+}
+
+std::optional<AskId> GuardReplies::takeRun(const GuardKey &key)
+{
+    const auto found = runs_.find(key);
+    if (found == runs_.end()) {
+        return std::nullopt;
+    }
+    const auto ask = found->second;
+    runs_.erase(found);
+    return ask;
+}
+
+} // namespace medlarway
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -27,6 +27,7 @@
     compare(peersWithoutBudget(running) == peersWithoutBudget(wanted), "peers");
     compare(running.platform == wanted.platform, "platform");
     compare(running.hosts == wanted.hosts, "hosts");
+    compare(running.guard == wanted.guard, "guard");
     compare(running.limits == wanted.limits, "limits");
     return names;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -16,7 +16,8 @@
 
 /// How this host talks to its peers.
 struct PeerSettings {
-    Endpoint listen; ///< on the host's own address; names the host among its peers
+    Endpoint listen; ///< on the host's own address
+    std::optional<Endpoint> advertise; ///< where the peers reach it, if that is not where it listens; names the host among them
     std::string keyFile; ///< holds the secret that all hosts share
     std::string previousKeyFile; ///< accepted beside the key while it is rotated; empty where there is none
     std::uint32_t bytesPerSecond = 5000; ///< budget for control messages sent
@@ -40,6 +41,13 @@
     friend bool operator==(const GraceSettings &, const GraceSettings &) = default;
 };
 
+/// How the key guard keeps idempotency keys.
+struct GuardOptions {
+    Duration window = std::chrono::minutes{10}; ///< longest time that a key is kept; the same on every host
+
+    friend bool operator==(const GuardOptions &, const GuardOptions &) = default;
+};
+
 /// Bounds on what callers may take of this host.
 struct HostLimits {
     std::uint32_t headBytes = 16384; ///< largest HTTP head
@@ -60,6 +68,7 @@
     PlatformSettings platform;
     std::vector<ListedHost> hosts; ///< the hosts that may be members, where no platform lists them
     GraceSettings graces;
+    GuardOptions guard;
     HostLimits limits;
 
     friend bool operator==(const Settings &, const Settings &) = default;
--- a/src/settings/settings_builder.cpp
+++ b/src/settings/settings_builder.cpp
@@ -71,6 +71,12 @@
     return *this;
 }
 
+SettingsBuilder &SettingsBuilder::guard(const GuardOptions &guard)
+{
+    settings_.guard = guard;
+    return *this;
+}
+
 SettingsBuilder &SettingsBuilder::limits(const HostLimits &limits)
 {
     settings_.limits = limits;
--- a/src/settings/settings_builder.h
+++ b/src/settings/settings_builder.h
@@ -23,6 +23,7 @@
     SettingsBuilder &platform(PlatformSettings platform, Position position = {});
     SettingsBuilder &listedHost(ListedHost host, Position position = {});
     SettingsBuilder &graces(const GraceSettings &graces);
+    SettingsBuilder &guard(const GuardOptions &guard);
     SettingsBuilder &limits(const HostLimits &limits);
 
     /// Everything that is wrong with what was given so far; what wasn't given is not looked at.
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -24,6 +24,7 @@
 constexpr Range<std::uint32_t> kHeadBytes{1024, 1U << 20U};
 constexpr Range<std::uint32_t> kFlows{1, 100'000'000};
 constexpr Range<Duration> kHeadTimeout{milliseconds{100}, std::chrono::minutes{10}};
+constexpr Range<Duration> kGuardWindow{std::chrono::seconds{1}, hours{24}};
 constexpr Range<Duration> kGrace{milliseconds{0}, hours{48}};
 
 // A section of the settings; an empty map where the key is missing, so that defaults stay.
@@ -68,6 +69,9 @@
     PeerSettings peers;
     reader.require("listen").endpoint("listen", peers.listen);
     reader.require("key-file").text("key-file", peers.keyFile);
+    if (reader.node("advertise")) {
+        reader.endpoint("advertise", peers.advertise.emplace());
+    }
     reader.text("previous-key-file", peers.previousKeyFile);
     reader.number("bytes-per-second", peers.bytesPerSecond, kPeerBytesPerSecond);
     reader.refuseUnknown();
@@ -118,6 +122,14 @@
     builder.graces(graces);
 }
 
+void readGuard(MapReader &top, SettingsBuilder &builder, Faults &faults)
+{
+    MapReader reader(sectionOf(top, "guard"), "guard", faults);
+    GuardOptions guard;
+    reader.duration("window", guard.window, kGuardWindow).refuseUnknown();
+    builder.guard(guard);
+}
+
 void readLimits(MapReader &top, SettingsBuilder &builder, Faults &faults)
 {
     MapReader reader(sectionOf(top, "limits"), "limits", faults);
@@ -164,6 +176,7 @@
     readPlatform(top, builder, result.faults);
     readHosts(top, builder, result.faults);
     readGraces(top, builder, result.faults);
+    readGuard(top, builder, result.faults);
     readLimits(top, builder, result.faults);
     top.refuseUnknown();
     // Step 2. The sound sections together.
