--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -62,8 +62,7 @@
     , control_(settings, engine_)
     , engine_(proxyOptions(settings), control_.ports())
     , platform_(settings, [this](const PlatformUpdate &update) { return control_.offer(update); })
-    , operator_(settings.operatorListen,
-                [this, ports = operatorPorts()](const std::string &target) { return answerOperator(ports, target); })
+    , operator_(settings.operatorListen, [ports = operatorPorts()](const std::string &target) { return answerOperator(ports, target); })
 {
 }
 
--- /dev/null
+++ b/tests/daemon/daemon_process.cpp
@@ -0,0 +1,125 @@
+#include "daemon/daemon_process.h"
+
+#include "daemon/caller.h"
+#include "yaml/text_file.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace medlarway
+{
+
+namespace
+{
+
+constexpr std::uint64_t kLongestLogBytes = 64ULL << 20U;
+constexpr std::chrono::milliseconds kPollInterval{5};
+
+std::string makeFolder()
+{
+    auto name = (std::filesystem::temp_directory_path() / "medlarwayd-XXXXXX").string();
+    if (mkdtemp(name.data()) == nullptr) {
+        throw std::runtime_error("no folder for a daemon: " + name);
+    }
+    return name;
+}
+
+// Runs in the child; only calls that are safe between fork and exec.
+[[noreturn]] void becomeDaemon(const char *settings, const char *log)
+{
+    const int descriptor = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    dup2(descriptor, STDERR_FILENO);
+    dup2(descriptor, STDOUT_FILENO);
+    // Sockets of the test must not stay open in the daemon: a stand-in that is killed would go on listening.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    execl(MEDLARWAYD_PATH, "medlarwayd", "--settings", settings, static_cast<char *>(nullptr));
+    _exit(127);
+}
+
+} // namespace
+
+std::string loopbackAddress(int number)
+{
+    const auto process = static_cast<unsigned>(getpid());
+    return fmt::format("127.{}.{}.{}", 16 + process / 256 % 224, process % 256, number);
+}
+
+DaemonProcess::DaemonProcess(const std::string &settings, const std::string &catalogue)
+    : folder_(makeFolder())
+{
+    write("catalogue.yaml", catalogue);
+    write("settings.yaml", settings);
+    const auto settingsFile = folder_ + "/settings.yaml";
+    const auto logFile = folder_ + "/log";
+    process_ = fork();
+    if (process_ == 0) {
+        becomeDaemon(settingsFile.c_str(), logFile.c_str());
+    }
+    if (process_ < 0) {
+        throw std::runtime_error("fork failed");
+    }
+}
+
+DaemonProcess::~DaemonProcess()
+{
+    if (!exitCode_) {
+        signal(SIGCONT);
+        signal(SIGKILL);
+        waitpid(process_, nullptr, 0);
+    }
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+void DaemonProcess::write(const std::string &file, const std::string &text) const
+{
+    const auto path = folder_ + "/" + file;
+    std::ofstream(path + ".new") << text;
+    std::filesystem::rename(path + ".new", path);
+}
+
+bool DaemonProcess::waitReady(const std::string &operatorAddress, std::chrono::seconds limit) const
+{
+    return waitUntil([&operatorAddress] { return askHttp(operatorAddress, "/readyz").body == "ready\n"; }, limit);
+}
+
+void DaemonProcess::signal(int number) const
+{
+    if (!exitCode_) {
+        kill(process_, number);
+    }
+}
+
+std::optional<int> DaemonProcess::waitExit(std::chrono::seconds limit)
+{
+    waitUntil(
+        [this] {
+            int status = 0;
+            if (!exitCode_ && waitpid(process_, &status, WNOHANG) == process_) {
+                exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+            }
+            return exitCode_.has_value();
+        },
+        limit);
+    return exitCode_;
+}
+
+std::string DaemonProcess::log() const
+{
+    return readTextFile(folder_ + "/log", kLongestLogBytes).value_or("");
+}
+
+void pauseBriefly()
+{
+    std::this_thread::sleep_for(kPollInterval);
+}
+
+} // namespace medlarway
