membership: news of a start is not passed on twice

Change: a claim is sent 2 * log2(hosts) times, not 3 *; what a joining host learns from a peer's list it doesn't pass on. The bench waits until the news of the start is out before it measures the rest.

--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -103,7 +103,7 @@
 {
     const auto joined = fleet.runUntil(180s, [&] { return everyViewHas(fleet, setup.hosts); });
     fmt::print("  start of all at once: every view whole after {:.1f} s\n", seconds(joined));
-    fleet.run(30s);
+    fleet.run(150s); // until the news of the start has been passed on
     takeAccusations(fleet, HostId{});
     fleet.cost = {};
 }
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -70,7 +70,7 @@
     announceSelf();
 }
 
-void Membership::Impl::applyUpdate(const MembershipUpdate &update, Time now)
+void Membership::Impl::applyUpdate(const MembershipUpdate &update, Time now, bool passOn)
 {
     if (update.host == options.self) {
         const bool isOther = update.claim != PeerClaim::Alive || update.incarnation > incarnation;
@@ -84,7 +84,9 @@
     if (!table.apply(update, now, suspicion())) {
         return;
     }
-    queue.put(update);
+    if (passOn) {
+        queue.put(update);
+    }
     if (!wasMember) {
         memberOrder.insert(update.host, random);
     }
@@ -138,8 +140,10 @@
     const bool wasAbsent = !peer->isMember();
     applyUpdate(MembershipUpdate{from, message.incarnation, PeerClaim::Alive, message.leaving}, now);
     noteAnswer(from);
+    // What a host learns from a list while it joins is no news to the others.
+    const bool passOn = fresh || message.kind != MembershipMessageKind::SyncReply;
     for (const auto &update : message.updates) {
-        applyUpdate(update, now);
+        applyUpdate(update, now, passOn);
     }
     // Step 3. Where the sender must refute something, the answer says so.
     peer = table.find(from);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -28,7 +28,7 @@
     std::uint32_t indirectProbes = 3; ///< hosts that are asked to probe one that did not answer
     std::uint32_t updatesPerMessage = 6; ///< claims that ride on a probe or its answer; up to four times as many after a mass failure
     std::uint32_t suspicionRounds = 2; ///< a suspect has this times log2(hosts) probe intervals to refute
-    std::uint32_t retransmitFactor = 3; ///< a claim is sent this times log2(hosts) times
+    std::uint32_t retransmitFactor = 2; ///< a claim is sent this times log2(hosts) times
 };
 
 /// What a change of the view was.
--- a/src/membership/membership_core.h
+++ b/src/membership/membership_core.h
@@ -52,7 +52,7 @@
 
     // Messages, in membership.cpp.
     void receive(HostId from, const MembershipMessage &message, Time now, Outbox<MembershipMessage> &outbox);
-    void applyUpdate(const MembershipUpdate &update, Time now);
+    void applyUpdate(const MembershipUpdate &update, Time now, bool passOn = true);
     void refute(std::uint64_t claimed);
     void answer(HostId from, const MembershipMessage &message, bool corrected, Outbox<MembershipMessage> &outbox);
     void noteAnswer(HostId host);
