membership: tests, bench and example follow the one ListedHost

Cause: the host list's row is one type in base now, named by its address; the fuzz fleet, the bench and the example still used the row that membership had, so that the membership tests and the bench did not build. Change: they build the row from the host's endpoint.

--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -35,7 +35,7 @@
 {
     std::vector<ListedHost> listed;
     for (std::size_t number = 0; number < hosts; ++number) {
-        listed.push_back(ListedHost{benchHost(number), benchZone(number), false});
+        listed.push_back(ListedHost{endpointOf(benchHost(number)), benchZone(number), false});
     }
     return listed;
 }
--- a/examples/membership_example.cpp
+++ b/examples/membership_example.cpp
@@ -42,7 +42,7 @@
 {
     const HostId first = hostIdOf(*parseEndpoint("10.0.0.1:7000"));
     const HostId second = hostIdOf(*parseEndpoint("10.0.0.2:7000"));
-    const std::vector<ListedHost> listed{{first, {"ghent"}, false}, {second, {"ghent"}, false}};
+    const std::vector<ListedHost> listed{{endpointOf(first), {"ghent"}, false}, {endpointOf(second), {"ghent"}, false}};
     Time now{};
     auto one = makeMembership(first, listed, now);
     auto two = makeMembership(second, listed, now);
--- a/tests/membership/fuzz_fleet.cpp
+++ b/tests/membership/fuzz_fleet.cpp
@@ -51,7 +51,7 @@
         FuzzHost host;
         host.id = hostNumber(number);
         host.zone = AvailabilityZone{fmt::format("zone{}", number % 3)};
-        platform_.listed.push_back(ListedHost{host.id, host.zone, false});
+        platform_.listed.push_back(ListedHost{endpointOf(host.id), host.zone, false});
         hosts_.push_back(std::move(host));
     }
     FuzzHost stranger;
@@ -150,9 +150,9 @@
     if (host.id == hosts_.back().id) {
         return;
     }
-    std::erase_if(platform_.listed, [&host](const ListedHost &row) { return row.id == host.id; });
+    std::erase_if(platform_.listed, [&host](const ListedHost &row) { return hostIdOf(row.address) == host.id; });
     if (isListed) {
-        platform_.listed.push_back(ListedHost{host.id, host.zone, false});
+        platform_.listed.push_back(ListedHost{endpointOf(host.id), host.zone, false});
     }
 }
 
