balance: slots of an owner that gives no sign are used by own counts

Cause: the slots of a host that died, was cut off or does not speak yet stood idle until the view changed. Change: a host that is asked for slots gives a sign at least every 200 ms; the slots of an owner that gives none for 500 ms after it must are used by own counts until it is heard of. Leases are the default now, since they no longer depend on every peer.

--- a/src/balance/choice.cpp
+++ b/src/balance/choice.cpp
@@ -95,7 +95,7 @@
         const Slot &slot = state.slots[i];
         const bool own = slot.owner == rules.self && now >= slot.lentUntil;
         const bool borrowed = slot.borrowedUntil && now < *slot.borrowedUntil;
-        if (!slot.busy && (own || borrowed)) {
+        if (!slot.busy && (own || borrowed || slot.ownerSilent)) {
             return i;
         }
     }
--- a/src/balance/options.h
+++ b/src/balance/options.h
@@ -20,7 +20,7 @@
 
 /// What can be switched in a dispatcher; the defaults are what the daemon runs.
 struct DispatcherOptions {
-    Sharing sharing = Sharing::TwoChoices;
+    Sharing sharing = Sharing::Leases;
     bool zoneFirst = true; ///< prefer upstreams of the host's own availability zone
     bool lanes = true; ///< keep a slot of each upstream free of long work
     bool earlyRefusal = true; ///< refuse what is not expected to finish in time
--- a/src/balance/slots.cpp
+++ b/src/balance/slots.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kUselessSpan = 500ms; ///< a slot that a peer could not use is not lent again for
 constexpr Duration kHoldPeriod = SlotShares::kLoan / 3;
 constexpr Duration kStartSpan = 60ms; ///< after the want was sent, in which requests may start in a slot lent for it
+constexpr Duration kSignPeriod = 200ms; ///< between two signs to a peer that asks
+constexpr Duration kSilence = 500ms; ///< after which an owner that gives no sign is passed over
 constexpr std::size_t kAskedPeers = 4;
 
 SlotMessage messageOf(SlotMessageKind kind, const Endpoint &upstream, std::size_t slot, std::uint64_t number, std::uint64_t amount)
@@ -67,15 +69,17 @@
 void SlotShares::assign(UpstreamTable &table, const View &view, Time now, Outbox<SlotMessage> &outbox)
 {
     // Step 1. The peers that can be asked; the order is each host's own, so that not all ask the same.
-    peers_.clear();
+    std::vector<Peer> peers;
     for (const Member &member : view.members) {
         if (member.id != self_ && member.state != HostState::Leaving) {
-            peers_.push_back(member.id);
+            const Peer *known = findPeer(member.id);
+            peers.push_back(known != nullptr ? *known : Peer{.id = member.id});
         }
     }
-    std::sort(peers_.begin(), peers_.end(), [this](HostId first, HostId second) {
-        return combineHash(self_.value, first.value) < combineHash(self_.value, second.value);
+    std::sort(peers.begin(), peers.end(), [this](const Peer &first, const Peer &second) {
+        return combineHash(self_.value, first.id.value) < combineHash(self_.value, second.id.value);
     });
+    peers_ = std::move(peers);
 
     // Step 2. The owners. What others still run in a slot they tell by Hold.
     for (UpstreamState &state : table.all()) {
@@ -99,10 +103,14 @@
 
 void SlotShares::receive(UpstreamTable &table, HostId from, const SlotMessage &message, Time now, Outbox<SlotMessage> &outbox)
 {
+    if (Peer *peer = findPeer(from)) {
+        peer->askedSince.reset();
+        peer->heardAt = now;
+    }
     switch (static_cast<SlotMessageKind>(message.kind)) {
     case SlotMessageKind::WantShort:
     case SlotMessageKind::WantLong:
-        takeWant(from, message, now);
+        takeWant(from, message, now, outbox);
         return;
     case SlotMessageKind::Lend:
         takeLoan(table, from, message, now, outbox);
@@ -118,9 +126,34 @@
     }
 }
 
+SlotShares::Peer *SlotShares::findPeer(HostId host)
+{
+    const auto found = std::find_if(peers_.begin(), peers_.end(), [host](const Peer &peer) { return peer.id == host; });
+    return found == peers_.end() ? nullptr : &*found;
+}
+
+// An owner that gives no sign for a while is dead, cut off or not reached yet. Its slots are used
+// by own counts until it is heard of or the view changes: some requests are shed by a full
+// upstream, but none waits for a host that is not there.
+void SlotShares::noteSilence(UpstreamTable &table, Time now)
+{
+    const auto isSilent = [now](const Peer &peer) { return peer.askedSince && now - *peer.askedSince > kSilence; };
+    for (UpstreamState &state : table.all()) {
+        for (Slot &slot : state.slots) {
+            const Peer *owner = findPeer(slot.owner);
+            slot.ownerSilent = owner != nullptr && isSilent(*owner);
+        }
+    }
+}
+
 // A peer has one want for each lane; a later one replaces it.
-void SlotShares::takeWant(HostId from, const SlotMessage &message, Time now)
+void SlotShares::takeWant(HostId from, const SlotMessage &message, Time now, Outbox<SlotMessage> &outbox)
 {
+    Peer *peer = findPeer(from);
+    if (peer != nullptr && now >= peer->signAgain) {
+        peer->signAgain = now + kSignPeriod;
+        outbox.push_back({from, messageOf(SlotMessageKind::Count, Endpoint{}, 0, 0, 0)});
+    }
     constexpr std::uint64_t kFarthest = std::chrono::nanoseconds{1h}.count();
     constexpr std::uint32_t kMostWanted = 1024;
     const bool isLong = message.kind == static_cast<std::uint8_t>(SlotMessageKind::WantLong);
@@ -250,13 +283,18 @@
     const std::size_t asked = std::min({peers_.size(), count, kAskedPeers});
     const SlotMessage message = messageOf(kind, Endpoint{}, (count + asked - 1) / asked, number, left);
     for (std::size_t i = 0; i < asked; ++i) {
-        outbox.push_back({peers_[(turn_ + i) % peers_.size()], message});
+        Peer &peer = peers_[(turn_ + i) % peers_.size()];
+        if (!peer.askedSince && (!peer.heardAt || now - *peer.heardAt > kSignPeriod * 3 / 2)) {
+            peer.askedSince = now;
+        }
+        outbox.push_back({peer.id, message});
     }
     turn_ += asked;
 }
 
 void SlotShares::upkeep(UpstreamTable &table, Time now, Outbox<SlotMessage> &outbox)
 {
+    noteSilence(table, now);
     std::erase_if(wants_, [now](const SlotWant &want) { return want.until < now || want.count == 0; });
     for (UpstreamState &state : table.all()) {
         for (std::size_t i = 0; i < state.slots.size(); ++i) {
--- a/src/balance/slots.h
+++ b/src/balance/slots.h
@@ -19,7 +19,7 @@
     Lend = 3, ///< a slot is lent for a want: number is the want's
     Return = 4, ///< a slot is given back: amount is the nanoseconds it was busy, number 1 where it was of no use
     Hold = 5, ///< a slot lent, or one that changed hands, is in use: keep it
-    Count = 6, ///< amount is how many requests the sender runs at the upstream
+    Count = 6, ///< amount is how many requests the sender runs at the upstream; without an upstream: heard you, nothing to lend
 };
 
 /// Slots that a peer asks this host for.
@@ -70,19 +70,28 @@
     static constexpr Duration kLoan = std::chrono::milliseconds{300};
 
 private:
+    struct Peer {
+        HostId id;
+        std::optional<Time> heardAt{};
+        std::optional<Time> askedSince{}; ///< the first want that it must give a sign for and did not yet
+        Time signAgain{}; ///< when it is next told that a want was heard
+    };
+
     struct Asked {
         std::uint64_t number = 0;
         Time at;
     };
 
-    void takeWant(HostId from, const SlotMessage &message, Time now);
+    void takeWant(HostId from, const SlotMessage &message, Time now, Outbox<SlotMessage> &outbox);
+    Peer *findPeer(HostId host);
+    void noteSilence(UpstreamTable &table, Time now);
     void takeLoan(UpstreamTable &table, HostId from, const SlotMessage &message, Time now, Outbox<SlotMessage> &outbox);
     static void takeReturn(UpstreamTable &table, HostId from, const SlotMessage &message, Time now);
     void takeHold(UpstreamTable &table, HostId from, const SlotMessage &message, Time now) const;
     void giveBack(UpstreamState &state, std::size_t slot, bool useless, Outbox<SlotMessage> &outbox) const;
 
     HostId self_;
-    std::vector<HostId> peers_;
+    std::vector<Peer> peers_;
     std::vector<SlotWant> wants_;
     std::array<Asked, 16> asked_{}; ///< the last wants sent, by number
     std::uint64_t lastNumber_ = 0;
--- a/src/balance/upstream_table.h
+++ b/src/balance/upstream_table.h
@@ -16,6 +16,7 @@
     std::optional<HostId> lentTo{}; ///< set while another host has it; this host owns it
     Time lentUntil{}; ///< end of the loan given, or of the wait before a slot that changed hands is used
     std::optional<Time> borrowedUntil{}; ///< set while this host has it on loan: no start after this
+    bool ownerSilent = false; ///< the owner gives no sign: used by own counts
     bool busy = false; ///< a request of this host runs in it
     Time usedAt{}; ///< when this host last began or ended using it
     Time holdAt{}; ///< when the owner must be told again that it is in use
