balance: a slot that another host turns out to use is left alone

Tests of sudden loss on the model: upstreams, a zone's upstreams, a zone cut off, a host, several at once; drain; a wrong health report; 1 to 9 hosts.

--- a/src/balance/outcomes.cpp
+++ b/src/balance/outcomes.cpp
@@ -62,6 +62,8 @@
         count(Counter::UpstreamSheds);
         if (state != nullptr && retryAfter > Duration{0}) {
             state->shedUntil = now + retryAfter;
+        } else if (state != nullptr && options.sharing == Sharing::Leases) {
+            SlotShares::noteShed(state->slots[run.slot], now);
         }
         return;
     case AttemptResult::ConnectFailed:
--- a/src/balance/slots.cpp
+++ b/src/balance/slots.cpp
@@ -21,6 +21,7 @@
 constexpr Duration kStartSpan = 60ms; ///< after the want was sent, in which requests may start in a slot lent for it
 constexpr Duration kSignPeriod = 200ms; ///< between two signs to a peer that asks
 constexpr Duration kSilence = 500ms; ///< after which an owner that gives no sign is passed over
+constexpr Duration kShedSpan = 100ms; ///< that a slot is left alone after the upstream refused a request in it
 constexpr std::size_t kAskedPeers = 4;
 
 SlotMessage messageOf(SlotMessageKind kind, const Endpoint &upstream, std::size_t slot, std::uint64_t number, std::uint64_t amount)
@@ -174,9 +175,19 @@
     slot.holdAt = now + kHoldPeriod;
     if (slot.borrowedUntil) {
         slot.holdAt = std::min(slot.holdAt, *slot.borrowedUntil);
+    } else if (slot.ownerSilent) {
+        slot.borrowedUntil = now;
     }
 }
 
+// The other's use is not known here, so the slot is left alone for a while, and nobody gets it lent.
+void SlotShares::noteShed(Slot &slot, Time now)
+{
+    slot.borrowedUntil = slot.borrowedUntil ? std::optional{now} : std::nullopt;
+    slot.lentUntil = std::max(slot.lentUntil, now + kShedSpan);
+    slot.notLentBefore = now + kUselessSpan;
+}
+
 // The span for starts runs from the moment the want was sent, which was before the owner began to
 // count: however long the messages took, it ends here before the loan ends there. It is short, so
 // that a host which got slots first does not keep them while a peer's requests are more urgent.
--- a/src/balance/slots.h
+++ b/src/balance/slots.h
@@ -60,6 +60,9 @@
     /// A request of this host starts in the slot.
     static void noteStart(Slot &slot, Time now);
 
+    /// The upstream refused a request in this slot: another host uses it.
+    static void noteShed(Slot &slot, Time now);
+
     /// Ends loans that ran out, returns those not needed, keeps those in use.
     void upkeep(UpstreamTable &table, Time now, Outbox<SlotMessage> &outbox);
 
