--- a/src/balance/dispatcher_impl.h
+++ b/src/balance/dispatcher_impl.h
@@ -23,6 +23,7 @@
     Time started;
     std::uint32_t attempts = 0; ///< that failed before this one
     bool isLong = false; ///< expected to be long, or has run past the short bound
+    bool mayHaveRun = false; ///< an earlier attempt was lost
 };
 
 /// The parts of a dispatcher. dispatcher.cpp has the entry points, placing.cpp what gets a slot,
@@ -89,7 +90,8 @@
     /// Tries a failed request again, or refuses it for good.
     void retryOrRefuse(const Running &run, AttemptResult result, Time now, Decisions &decisions);
 
-    void refuse(RequestId request, ErrorKind kind, Duration retryAfter, Decisions &decisions) const;
+    /// Ends a request without an answer; what may have run is never said to be not-run.
+    void refuse(RequestId request, bool mayHaveRun, ErrorKind kind, Decisions &decisions) const;
 };
 
 } // namespace medlarway
--- a/src/balance/outcomes.cpp
+++ b/src/balance/outcomes.cpp
@@ -91,8 +91,9 @@
 
     // Step 1. What may not be sent again, by its class or its number of attempts, ends here.
     const ErrorKind kind = errorOf(result);
+    const bool mayHaveRun = run.mayHaveRun || result == AttemptResult::Lost;
     if (!mayRetry(service.serviceClass, result) || run.attempts + 1 >= kMostAttempts) {
-        refuse(run.request.id, kind, times.mean(), decisions);
+        refuse(run.request.id, mayHaveRun, kind, decisions);
         return;
     }
 
@@ -100,7 +101,7 @@
     if (!budget.spend()) {
         count(Counter::RetriesDenied);
         decisions.notices.push_back({Event::RetryBudgetSpent, run.upstream});
-        refuse(run.request.id, kind, times.mean(), decisions);
+        refuse(run.request.id, mayHaveRun, kind, decisions);
         return;
     }
 
@@ -112,17 +113,20 @@
                     .attempts = run.attempts + 1,
                     .avoid = run.upstream,
                     .isLong = run.isLong,
+                    .mayHaveRun = mayHaveRun,
                     .lastFailure = kind};
     if (waiting.latestStart < waiting.ready) {
-        refuse(run.request.id, kind, times.mean(), decisions);
+        refuse(run.request.id, mayHaveRun, kind, decisions);
         return;
     }
     enqueue(waiting, now, decisions);
 }
 
-void Dispatcher::Impl::refuse(RequestId request, ErrorKind kind, Duration retryAfter, Decisions &decisions) const
+void Dispatcher::Impl::refuse(RequestId request, bool mayHaveRun, ErrorKind kind, Decisions &decisions) const
 {
-    decisions.refusals.push_back({request, kind, retryAfter});
+    const bool saysNotRun = errorRow(kind).outcome != Outcome::Unknown;
+    const Duration retryAfter = std::max(times.mean(), expectedWait(false, Time::max()));
+    decisions.refusals.push_back({request, mayHaveRun && saysNotRun ? ErrorKind::UpstreamLost : kind, retryAfter});
 }
 
 } // namespace medlarway
--- a/src/balance/placing.cpp
+++ b/src/balance/placing.cpp
@@ -63,7 +63,7 @@
 {
     // Step 1. What has no chance is refused at once, while the caller can still go elsewhere.
     if (const std::optional<ErrorKind> kind = refusalFor(waiting, now)) {
-        refuse(waiting.request.id, *kind, expectedWait(waiting.isLong, waiting.latestStart), decisions);
+        refuse(waiting.request.id, waiting.mayHaveRun, *kind, decisions);
         return;
     }
 
@@ -72,12 +72,11 @@
     if (queue.size() >= service.limits.queueLength && queue.size() > 0) {
         if (overShare(queue, waiting.request.caller, service.limits.queueLength)) {
             const ErrorKind kind = queue.callers() > 1 ? ErrorKind::CallerOverShare : ErrorKind::QueueFull;
-            refuse(waiting.request.id, kind, times.mean(), decisions);
+            refuse(waiting.request.id, waiting.mayHaveRun, kind, decisions);
             return;
         }
-        const RequestId victim = queue.lastOfBusiestCaller()->request.id;
-        queue.remove(victim);
-        refuse(victim, ErrorKind::CallerOverShare, times.mean(), decisions);
+        const Waiting victim = *queue.remove(queue.lastOfBusiestCaller()->request.id);
+        refuse(victim.request.id, victim.mayHaveRun, ErrorKind::CallerOverShare, decisions);
     }
     queue.push(waiting);
 }
@@ -90,7 +89,7 @@
     // Step 1. Requests that are too late give way.
     for (const Waiting &late : queue.expire(now)) {
         const ErrorKind kind = late.attempts > 0 ? late.lastFailure : ErrorKind::DeadlineUnreachable;
-        refuse(late.request.id, kind, times.mean(), decisions);
+        refuse(late.request.id, late.mayHaveRun, kind, decisions);
     }
 
     // Step 2. Slots go to whoever must start first, this host's requests or a peer's.
@@ -99,9 +98,8 @@
 
     // Step 3. A queue of length zero stands for no waiting at all.
     while (queue.size() > service.limits.queueLength) {
-        const RequestId victim = queue.lastOfBusiestCaller()->request.id;
-        queue.remove(victim);
-        refuse(victim, ErrorKind::QueueFull, times.mean(), decisions);
+        const Waiting victim = *queue.remove(queue.lastOfBusiestCaller()->request.id);
+        refuse(victim.request.id, victim.mayHaveRun, ErrorKind::QueueFull, decisions);
     }
     exchange(now, decisions);
 }
@@ -176,7 +174,8 @@
                                                 .slot = place->slot,
                                                 .started = now,
                                                 .attempts = waiting.attempts,
-                                                .isLong = isLong});
+                                                .isLong = isLong,
+                                                .mayHaveRun = waiting.mayHaveRun});
     decisions.starts.push_back({waiting.request.id, state.upstream.address});
     return true;
 }
--- a/src/balance/wait_queue.h
+++ b/src/balance/wait_queue.h
@@ -20,6 +20,7 @@
     std::uint32_t attempts = 0; ///< that failed
     std::optional<Endpoint> avoid{}; ///< the upstream of the last attempt
     bool isLong = false;
+    bool mayHaveRun = false; ///< an earlier attempt was lost
     ErrorKind lastFailure = ErrorKind::DeadlineUnreachable; ///< what to tell the caller where time runs out
 };
 
