--- a/src/membership/membership_tick.cpp
+++ b/src/membership/membership_tick.cpp
@@ -102,9 +102,8 @@
         probe.reset();
     } else {
         finishProbe(now);
-        for (const auto host : table.expire(now)) {
-            queue.erase(host);
-        }
+        // The claims go on to be passed on: while a whole zone is lost they take longer than a suspicion.
+        table.expire(now);
     }
     // Step 2. A member, one suspect, and now and then an absent host.
     startProbe(now, outbox);
--- a/src/membership/peer_table.cpp
+++ b/src/membership/peer_table.cpp
@@ -80,11 +80,10 @@
     return true;
 }
 
-std::vector<HostId> PeerTable::expire(Time now)
+void PeerTable::expire(Time now)
 {
-    std::vector<HostId> removed;
     if (suspectCount_ == 0) {
-        return removed;
+        return;
     }
     for (auto &[id, peer] : peers_) {
         if (!peer.isSuspect() || peer.suspectUntil > now) {
@@ -93,10 +92,8 @@
         const auto before = peer.life.phase;
         happened(peer.life, PeerExpired{});
         noteChange(id, peer, before, true);
-        removed.push_back(id);
     }
     std::erase_if(peers_, [](const auto &entry) { return !entry.second.listed && !entry.second.isMember(); });
-    return removed;
 }
 
 void PeerTable::restartSuspicions(Time now, Duration suspicion)
--- a/src/membership/peer_table.h
+++ b/src/membership/peer_table.h
@@ -46,8 +46,8 @@
     /// Applies a claim; true where it changed the peer. Claims of unknown hosts change nothing.
     bool apply(const MembershipUpdate &update, Time now, Duration suspicion);
 
-    /// Removes the suspects whose time is over; returns them.
-    std::vector<HostId> expire(Time now);
+    /// Removes the suspects whose time is over.
+    void expire(Time now);
 
     /// Gives every suspect the whole time again, as after a pause of this host.
     void restartSuspicions(Time now, Duration suspicion);
