--- a/src/flows/flow_packets.cpp
+++ b/src/flows/flow_packets.cpp
@@ -15,7 +15,7 @@
 /// otherwise hand the packet back and forth until it is dropped.
 constexpr std::uint8_t kOwnerHops = kRelayHops - 1;
 
-/// Hosts that a freshly started one asks: it has no earlier generations, and with as many
+/// Hosts that a freshly started one asks, of those that stay and of those that leave: it has no earlier generations, and with as many
 /// joins at a time the owner before them is still among the best ranked.
 constexpr std::size_t kAskedWhenFresh = 3;
 
@@ -167,14 +167,17 @@
     }
     // Step 2. A freshly started host has no generations: the hosts that would own the flow without it.
     if (now < startedAt + settings.settleTime) {
-        std::vector<HostId> others;
+        std::vector<HostId> staying;
+        std::vector<HostId> leavers;
         for (const auto &member : generations.current().members) {
             if (member.id != self) {
-                others.push_back(member.id);
+                (mayOwn(member) ? staying : leavers).push_back(member.id);
             }
         }
-        for (const auto host : rankHosts(hash, others, kAskedWhenFresh)) {
-            addOnce(hosts, host);
+        for (const auto *others : {&staying, &leavers}) {
+            for (const auto host : rankHosts(hash, *others, kAskedWhenFresh)) {
+                addOnce(hosts, host);
+            }
         }
     }
     // Step 3. Hosts that have announced all they hold to their owners need not be asked.
@@ -220,7 +223,7 @@
         if (auto *entry = table.findOrInsert(key, FlowPlace::Elsewhere); entry != nullptr) {
             setHolder(*entry, taker);
             entry->upstream = upstream;
-            entry->lastUsed = coarse(now);
+            noteUse(*entry, now);
         }
         decisions.packets.push_back(relayed(key, taker));
         answerDeferred(lookup, key, isFound ? holder : HostId{}, upstream, outbox);
--- a/src/flows/flow_peers.cpp
+++ b/src/flows/flow_peers.cpp
@@ -76,7 +76,7 @@
     if (claims && generations.owner(flowHash(key)) == self) {
         if (auto *entry = table.findOrInsert(key, FlowPlace::Elsewhere); entry != nullptr) {
             setHolder(*entry, from);
-            entry->lastUsed = generations.isMember(from) ? coarse(now) : almostIdle(now);
+            noteUse(*entry, now);
         }
     }
     auto answer = flowMessage(FlowMessageKind::Unknown, key);
@@ -120,7 +120,6 @@
         return;
     }
     entry.checking = false;
-    entry.lastUsed = coarse(now);
     if (isKnown(upstream)) {
         entry.upstream = upstream;
     }
@@ -129,6 +128,7 @@
             setHolder(entry, holder);
             announcer.restart();
         }
+        noteUse(entry, now);
     } else if (isKnown(entry.upstream)) {
         takeOver(entry);
     } else {
@@ -205,7 +205,7 @@
     if (entry != nullptr) {
         setHolder(*entry, isHere ? HostId{} : holder);
         entry->upstream = flow.upstream;
-        entry->lastUsed = coarse(now);
+        noteUse(*entry, now);
         if (generations.owner(flowHash(key)) != self) {
             announcer.restart();
         }
--- a/src/flows/flow_router.cpp
+++ b/src/flows/flow_router.cpp
@@ -150,6 +150,13 @@
     entry.told = HostId{};
 }
 
+// What is held by a host that isn't a member (yet) is left to expire soon.
+void FlowRouter::Impl::noteUse(FlowEntry &entry, Time now) const
+{
+    const bool isReachable = entry.place == FlowPlace::Held || generations.isMember(entry.holder);
+    entry.lastUsed = isReachable ? coarse(now) : almostIdle(now);
+}
+
 void FlowRouter::Impl::becomeHolder(FlowEntry &entry)
 {
     table.move(entry, FlowPlace::Held);
--- a/src/flows/flow_router.h
+++ b/src/flows/flow_router.h
@@ -22,7 +22,7 @@
     Forward, ///< send to the upstream; the caller opens its socket where the flow has none yet
     Relay, ///< hand to the host, with one hop more
     Hold, ///< keep in a bounded queue until the next decision on this flow
-    New, ///< pick an upstream with the hint, then call bind; where there is none, drop
+    New, ///< pick an upstream with the hint, then call bind once; where there is none, drop. Further held packets go to onPacket again
     Drop, ///< for the reason given
 };
 
--- a/src/flows/flow_router_impl.h
+++ b/src/flows/flow_router_impl.h
@@ -62,6 +62,7 @@
 
     // Entries.
     void setHolder(FlowEntry &entry, HostId holder);
+    void noteUse(FlowEntry &entry, Time now) const;
     void becomeHolder(FlowEntry &entry);
     void takeOver(FlowEntry &entry);
     void giveWay(FlowEntry &entry, HostId holder, const Endpoint &upstream, FlowDecisions &decisions);
--- a/src/guard/guard_memory.cpp
+++ b/src/guard/guard_memory.cpp
@@ -95,12 +95,16 @@
 void GuardMemory::receive(HostId from, const GuardMessage &message, Time now, KeptKeys &keys, Rosters &rosters)
 {
     const bool isExpected = message.ask > firstRequest_ && message.ask <= lastRequest_;
-    if (!isExpected || message.part >= message.parts) {
+    if (!isExpected) {
         return;
     }
     for (const auto &list : message.guards) {
         rosters.addEarlier(list.hosts, now);
     }
+    // A host that has forgotten keys itself tells its lists only.
+    if (message.part >= message.parts) {
+        return;
+    }
     for (const auto &kept : message.memory) {
         if (keys.size() >= settings_.keyLimit) {
             return;
@@ -123,6 +127,16 @@
     }
 }
 
+void answerWithLists(HostId from, std::uint64_t request, const Rosters &rosters, Outbox<GuardMessage> &outbox)
+{
+    GuardMessage message;
+    message.kind = GuardMessageKind::Memory;
+    message.ask = request;
+    message.guards = rosters.all();
+    message.roster = rosters.hash();
+    outbox.push_back({from, std::move(message)});
+}
+
 void answerMemoryRequest(HostId from, std::uint64_t request, const KeptKeys &keys, const Rosters &rosters, Time now,
                          Outbox<GuardMessage> &outbox)
 {
--- a/src/guard/guard_memory.h
+++ b/src/guard/guard_memory.h
@@ -61,6 +61,9 @@
     std::set<HostId> complete_; ///< hosts that have told all they keep
 };
 
+/// The answer of a host that can't vouch for its memory: only the lists that it knows.
+void answerWithLists(HostId from, std::uint64_t request, const Rosters &rosters, Outbox<GuardMessage> &outbox);
+
 /// The parts of an answer to a MemoryRequest: the keys whose guards, by any list, include the host.
 void answerMemoryRequest(HostId from, std::uint64_t request, const KeptKeys &keys, const Rosters &rosters, Time now,
                          Outbox<GuardMessage> &outbox);
--- a/src/guard/key_guard.cpp
+++ b/src/guard/key_guard.cpp
@@ -189,6 +189,8 @@
     case GuardMessageKind::MemoryRequest:
         if (memory.isFull(rosters, now)) {
             answerMemoryRequest(from, message.ask, kept, rosters, now, outbox);
+        } else {
+            answerWithLists(from, message.ask, rosters, outbox);
         }
         break;
     case GuardMessageKind::Memory:
--- a/tests/harness/flow_fleet.h
+++ b/tests/harness/flow_fleet.h
@@ -177,6 +177,7 @@
         std::unique_ptr<FlowRouter> router;
         bool leaving = false;
         Time leavesAt;
+        std::optional<Time> exitsAt;
         Members known;
         std::map<FlowKey, std::vector<RelayedDatagram>> held;
     };
@@ -238,9 +239,22 @@
             FlowDecisions decisions;
             router(host).tick(now_, outbox, decisions);
             carryOut(host, outbox, decisions);
-            if (hosts_[host].leaving && now_ >= hosts_[host].leavesAt && router(host).handedOver()) {
-                crash(host);
-            }
+            stopWhereDone(host);
+        }
+    }
+
+    // A leaving host says that it is gone once its flows are handed over, and goes on with what still
+    // reaches it until everybody has heard.
+    void stopWhereDone(std::size_t host)
+    {
+        auto &state = hosts_[host];
+        if (state.exitsAt && now_ >= *state.exitsAt) {
+            state.router.reset();
+            state.leaving = false;
+        } else if (state.leaving && !state.exitsAt && now_ >= state.leavesAt && state.router->handedOver()) {
+            state.exitsAt = now_ + newsDelay_ + std::chrono::milliseconds{50};
+            truth_.erase(idOf(host));
+            tellAll(idOf(host), std::nullopt);
         }
     }
 
@@ -248,6 +262,9 @@
     {
         auto &host = hosts_[news.host];
         const auto truth = truth_.find(news.about);
+        if (news.about == idOf(news.host) && !news.state) {
+            return;
+        }
         const bool isStale = news.state ? truth == truth_.end() || truth->second != *news.state : truth != truth_.end();
         if (!host.router || isStale) {
             return;
--- a/tests/harness/guard_fleet.h
+++ b/tests/harness/guard_fleet.h
@@ -32,7 +32,9 @@
 class GuardFleet
 {
 public:
-    GuardFleet(std::size_t hosts, const GuardSettings &settings, Duration window, std::uint64_t seed)
+    /// Listed: the hosts that guards are drawn from; empty for all.
+    GuardFleet(std::size_t hosts, const GuardSettings &settings, Duration window, std::uint64_t seed,
+               const std::vector<std::size_t> &listed = {})
         : settings_(settings)
         , window_(window)
         , random_(seed)
@@ -40,7 +42,9 @@
         , hosts_(hosts)
     {
         for (std::size_t host = 0; host < hosts; ++host) {
-            listed_.push_back(idOf(host));
+            if (listed.empty() || std::find(listed.begin(), listed.end(), host) != listed.end()) {
+                listed_.push_back(idOf(host));
+            }
         }
         for (std::size_t host = 0; host < hosts; ++host) {
             start(host);
@@ -161,9 +165,16 @@
         }
     }
 
-    /// Adds the host to the platform's list, or removes it; hosts learn of it by learnList.
+    /// Adds the host to the platform's list, or removes it; hosts learn of it by learnList. One change
+    /// follows another only once every host that is up has learned it.
     void changeList(std::size_t host)
     {
+        for (const auto &state : hosts_) {
+            if (state.guard && state.listVersion != listVersion_) {
+                return;
+            }
+        }
+        ++listVersion_;
         const auto found = std::find(listed_.begin(), listed_.end(), idOf(host));
         if (found == listed_.end()) {
             listed_.push_back(idOf(host));
@@ -175,6 +186,7 @@
     void learnList(std::size_t host)
     {
         if (hosts_[host].guard && !hosts_[host].paused) {
+            hosts_[host].listVersion = listVersion_;
             hosts_[host].guard->setListed(listed_, localNow(host));
         }
     }
@@ -196,20 +208,20 @@
     /// A key that ran twice within its window; empty where there is none. Clocks may differ by one in a hundred.
     std::string findDouble() const
     {
-        for (std::size_t first = 0; first < history_.size(); ++first) {
-            for (std::size_t second = first + 1; second < history_.size(); ++second) {
-                const auto &one = history_[first];
-                const auto &other = history_[second];
-                if (one.ran && other.ran && one.key == other.key) {
-                    const auto apart = *one.ran < *other.ran ? *other.ran - *one.ran : *one.ran - *other.ran;
-                    if (apart < window_ - window_ / 100) {
-                        return "key " + std::to_string(one.key.keyLow) + " ran on host " + std::to_string(one.host + 1) + " and host "
-                               + std::to_string(other.host + 1);
-                    }
-                }
-            }
-        }
-        return {};
+        std::string found;
+        forEachDouble([&found](const GuardInvocation &one, const GuardInvocation &other) {
+            found = "key " + std::to_string(one.key.keyLow) + " ran on host " + std::to_string(one.host + 1) + " and host "
+                    + std::to_string(other.host + 1);
+        });
+        return found;
+    }
+
+    /// How many pairs of runs of a key were within its window.
+    std::size_t countDoubles() const
+    {
+        std::size_t number = 0;
+        forEachDouble([&number](const GuardInvocation &, const GuardInvocation &) { ++number; });
+        return number;
     }
 
     /// An invocation whose verdict and run contradict each other; empty where there is none.
@@ -225,6 +237,23 @@
     }
 
 private:
+    template<class Function>
+    void forEachDouble(const Function &function) const
+    {
+        for (std::size_t first = 0; first < history_.size(); ++first) {
+            for (std::size_t second = first + 1; second < history_.size(); ++second) {
+                const auto &one = history_[first];
+                const auto &other = history_[second];
+                if (one.ran && other.ran && one.key == other.key) {
+                    const auto apart = *one.ran < *other.ran ? *other.ran - *one.ran : *one.ran - *other.ran;
+                    if (apart < window_ - window_ / 100) {
+                        function(one, other);
+                    }
+                }
+            }
+        }
+    }
+
     struct Send {
         Time at;
         GuardDecision decision;
@@ -238,6 +267,7 @@
         Time clockStart;
         double clockRate = 1.0;
         bool paused = false;
+        std::uint64_t listVersion = 0;
         std::vector<Delivery<GuardMessage>> mailbox;
         std::vector<Send> sends;
     };
@@ -251,6 +281,7 @@
         state.clockStart = Time{std::chrono::seconds{random_.below(1'000'000)}};
         state.clockRate = 0.996 + 0.008 * random_.unit();
         state.guard = std::make_unique<KeyGuard>(idOf(host), settings_, random_(), state.clockStart);
+        state.listVersion = listVersion_;
         state.guard->setListed(listed_, state.clockStart);
     }
 
@@ -359,6 +390,7 @@
     MessageNetwork<GuardMessage> network_;
     Time now_{std::chrono::seconds{1}};
     std::vector<HostId> listed_;
+    std::uint64_t listVersion_ = 0;
     std::vector<Host> hosts_;
     std::vector<GuardInvocation> history_;
 };
