guard: a story for guards of an earlier list that can't be asked

Cause: with list changes that don't overtake each other the fuzz test no longer noticed earlier lists being forgotten. Change: a directed test replaces three of five guards' majority across two list changes during a partition.

--- a/tests/guard/key_guard_test.cpp
+++ b/tests/guard/key_guard_test.cpp
@@ -117,6 +117,21 @@
             }
             CHECK(replaced.findDouble().empty());
         }
+        SUBCASE("does not run by new guards alone while those of the earlier list can't be asked")
+        {
+            GuardFleet changed(6, settingsOf(kWindow), kWindow, 13, {0, 1, 2, 3, 4});
+            changed.advance(kWindow + std::chrono::seconds{5});
+            changed.part(0b010011, false);
+            CHECK(verdictOn(changed, 0, kKey) == GuardVerdict::Run);
+            for (const std::size_t host : {4U, 5U}) {
+                changed.changeList(host);
+                for (std::size_t learner = 0; learner < changed.size(); ++learner) {
+                    changed.learnList(learner);
+                }
+            }
+            CHECK(verdictOn(changed, 5, kKey) == GuardVerdict::Refused);
+            CHECK(changed.findDouble().empty());
+        }
         CHECK(fleet.findDouble().empty());
         CHECK(fleet.findContradiction().empty());
     }
