--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -29,6 +29,7 @@
 int runState(const std::vector<std::string> &arguments);
 int runCounters(const std::vector<std::string> &arguments);
 int runExplain(const std::vector<std::string> &arguments);
+int runBench(const std::vector<std::string> &arguments);
 int runVersion(const std::vector<std::string> &arguments);
 
 } // namespace medlarway
--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -14,6 +14,7 @@
     Command{"state", "ADDRESS [--json]", "shows what a running daemon does and knows", runState},
     Command{"counters", "ADDRESS", "shows a running daemon's counters", runCounters},
     Command{"explain", "ADDRESS --service NAME --path PATH --caller IP", "says which upstream a request would get, and why", runExplain},
+    Command{"bench", "[--seeds N] [--csv]", "compares the ways of choosing an upstream on the committed scenarios", runBench},
     Command{"version", "", "prints the version", runVersion},
 };
 
