daemon, peering: requests have a byte budget of their own; five real hosts tested under failure

Cause: the key guard's messages counted as critical and went over the one control budget, so a load of keyed requests drove it below zero and probes were dropped: with 8 callers at full speed hosts that were well were removed (log: PeerBudgetExceeded for membership, then PeerRemoved), and a rolling replacement did not finish. Ruled out: the guard itself (no double) and the drain (exit 0 without load). Change: two token buckets, control and request; guard, slot and flow messages use the second (peers.request-bytes-per-second). Tests start five daemons on loopback addresses.

--- a/src/cluster/peer_message.cpp
+++ b/src/cluster/peer_message.cpp
@@ -37,7 +37,7 @@
 
 MessagePriority priorityOfKind(const GuardMessage & /*message*/)
 {
-    return MessagePriority::Critical;
+    return MessagePriority::High;
 }
 
 MessagePriority priorityOfKind(const ServiceSlotMessage & /*message*/)
@@ -47,7 +47,7 @@
 
 MessagePriority priorityOfKind(const ServiceFlowMessage & /*message*/)
 {
-    return MessagePriority::Critical;
+    return MessagePriority::High;
 }
 
 MessagePriority priorityOfKind(const BootNotice & /*message*/)
@@ -64,6 +64,15 @@
     return kNames.at(kind);
 }
 
+// Requests have a budget of their own: a load that may use that of the probes would make hosts
+// that are well look lost.
+TrafficClass trafficClassOf(const PeerMessage &message)
+{
+    const bool perRequest = std::holds_alternative<GuardMessage>(message) || std::holds_alternative<ServiceSlotMessage>(message)
+                            || std::holds_alternative<ServiceFlowMessage>(message);
+    return perRequest ? TrafficClass::Request : TrafficClass::Control;
+}
+
 MessagePriority priorityOf(const PeerMessage &message)
 {
     return std::visit([](const auto &body) { return priorityOfKind(body); }, message);
--- a/src/cluster/peer_message.h
+++ b/src/cluster/peer_message.h
@@ -43,7 +43,16 @@
 /// The names of the kinds, for the state dump and the counters of bytes.
 std::string_view peerMessageKindName(std::size_t kind);
 
-/// How much a message matters where the control budget runs short.
+/// What a message is sent for, and so which budget it is taken from.
+enum class TrafficClass : std::uint8_t {
+    Control, ///< what hosts tell each other whatever the load
+    Request, ///< grows with the callers' requests and flows
+};
+
+/// The class of a message.
+TrafficClass trafficClassOf(const PeerMessage &message);
+
+/// How much a message matters where its budget runs short.
 MessagePriority priorityOf(const PeerMessage &message);
 
 /// The body of a message, to be sealed with its kind, the variant's index.
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -74,7 +74,8 @@
     options.listen = peers.listen;
     options.keys = loadPeerKeys(peers.keyFile, peers.previousKeyFile);
     options.boot = boot;
-    options.bytesPerSecond = peers.bytesPerSecond;
+    options.controlBytesPerSecond = peers.bytesPerSecond;
+    options.requestBytesPerSecond = peers.requestBytesPerSecond;
     link_ = std::make_unique<PeerLink>(options, thread_, [this](HostId from, const PeerMessage &message) {
         step([&](Time now, HostActions &actions) { core_.receive(from, message, now, actions); });
     });
@@ -155,7 +156,7 @@
     thread_.hand([this, settings, keys] {
         settings_ = settings;
         if (link_ && keys) {
-            link_->setRate(settings.peers->bytesPerSecond);
+            link_->setRates(settings.peers->bytesPerSecond, settings.peers->requestBytesPerSecond);
             link_->setKeys(*keys);
             relay_->setKeys(*keys);
         }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -137,6 +137,7 @@
         settings_.graces = wanted.graces;
         if (settings_.peers && wanted.peers) {
             settings_.peers->bytesPerSecond = wanted.peers->bytesPerSecond;
+            settings_.peers->requestBytesPerSecond = wanted.peers->requestBytesPerSecond;
         }
         setLogLevel(settings_.logLevel);
         control_.applySettings(settings_);
--- a/src/daemon/peer_link.cpp
+++ b/src/daemon/peer_link.cpp
@@ -16,7 +16,8 @@
 
 // What may be sent at once after a quiet time, in seconds of the rate: enough for a catalogue change
 // to go out whole while the long-run rate holds.
-constexpr std::uint64_t kBurstSeconds = 20;
+constexpr std::uint64_t kControlBurstSeconds = 20;
+constexpr std::uint64_t kRequestBurstSeconds = 1;
 
 std::string readKeyFile(const std::string &path)
 {
@@ -41,7 +42,8 @@
 
 PeerLink::PeerLink(const PeerLinkOptions &options, DutyThread &duty, Handler handler)
     : envelope_(options.self, options.boot, options.keys)
-    , budget_(options.bytesPerSecond, options.bytesPerSecond * kBurstSeconds)
+    , controlBudget_(options.controlBytesPerSecond, options.controlBytesPerSecond * kControlBurstSeconds)
+    , requestBudget_(options.requestBytesPerSecond, options.requestBytesPerSecond * kRequestBurstSeconds)
     , handler_(std::move(handler))
 {
     // The socket's thread only hands the bytes over; a full ring counts and drops them.
@@ -58,7 +60,8 @@
         reportError(ErrorKind::PeerOversized, "a message of " + std::to_string(body.size()) + " bytes was not sent");
         return;
     }
-    if (!budget_.take(size, priorityOf(message), now)) {
+    auto &budget = trafficClassOf(message) == TrafficClass::Control ? controlBudget_ : requestBudget_;
+    if (!budget.take(size, priorityOf(message), now)) {
         ++traffic.overBudget;
         reportError(ErrorKind::PeerOverBudget, peerMessageKindName(message.index()));
         return;
@@ -106,9 +109,10 @@
     handler_(opened.from, message);
 }
 
-void PeerLink::setRate(std::uint64_t bytesPerSecond)
+void PeerLink::setRates(std::uint64_t controlBytesPerSecond, std::uint64_t requestBytesPerSecond)
 {
-    budget_.setRate(bytesPerSecond);
+    controlBudget_.setRate(controlBytesPerSecond);
+    requestBudget_.setRate(requestBytesPerSecond);
 }
 
 void PeerLink::setKeys(const PeerKeys &keys)
--- a/src/daemon/peer_link.h
+++ b/src/daemon/peer_link.h
@@ -22,7 +22,8 @@
     Endpoint listen; ///< may differ from self where the peers reach the host through a forwarder
     PeerKeys keys;
     std::uint64_t boot = 1; ///< higher after each restart
-    std::uint64_t bytesPerSecond = 0; ///< budget of what is sent
+    std::uint64_t controlBytesPerSecond = 0; ///< budget of what hosts tell each other whatever the load
+    std::uint64_t requestBytesPerSecond = 0; ///< budget of what is sent for requests and flows
 };
 
 /// Messages and bytes of one kind, both ways.
@@ -47,8 +48,8 @@
     /// Sends, or drops where budget or network say so.
     void send(HostId to, const PeerMessage &message, Time now);
 
-    /// Puts another budget in force.
-    void setRate(std::uint64_t bytesPerSecond);
+    /// Puts other budgets in force.
+    void setRates(std::uint64_t controlBytesPerSecond, std::uint64_t requestBytesPerSecond);
 
     /// Puts other keys in force.
     void setKeys(const PeerKeys &keys);
@@ -62,7 +63,8 @@
     void deliver(const OpenedMessage &opened);
 
     Envelope envelope_;
-    ByteBudget budget_;
+    ByteBudget controlBudget_;
+    ByteBudget requestBudget_;
     Handler handler_;
     std::array<KindTraffic, kPeerMessageKinds> traffic_{};
     std::unique_ptr<ControlSocket> socket_;
--- a/src/peering/byte_budget.cpp
+++ b/src/peering/byte_budget.cpp
@@ -35,7 +35,7 @@
     started_ = true;
     filled_ = std::max(filled_, now);
     const auto size = static_cast<double>(bytes);
-    if (priority != MessagePriority::Critical && available_ - size < burst_ * kReserve.at(static_cast<std::size_t>(priority))) {
+    if (available_ - size < burst_ * kReserve.at(static_cast<std::size_t>(priority))) {
         return false;
     }
     available_ -= size;
--- a/src/peering/byte_budget.h
+++ b/src/peering/byte_budget.h
@@ -11,8 +11,7 @@
 enum class MessagePriority : std::uint8_t {
     Low, ///< repeated anyway, such as digests
     Normal, ///< news of the catalogue and of load
-    High, ///< probes, whose loss would look like a host's
-    Critical, ///< a caller waits for it; sent even over the budget
+    High, ///< probes, whose loss would look like a host's; requests that callers wait for
 };
 
 /// A token bucket of bytes with a reserve that only the more important messages may use.
@@ -31,7 +30,7 @@
 private:
     double rate_; ///< bytes a second
     double burst_; ///< bytes
-    double available_; ///< bytes; below zero after critical messages
+    double available_; ///< bytes
     Time filled_{};
     bool started_ = false;
 };
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -17,6 +17,7 @@
         auto peers = settings.peers;
         if (peers) {
             peers->bytesPerSecond = 0;
+            peers->requestBytesPerSecond = 0;
         }
         return peers;
     };
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -21,6 +21,7 @@
     std::string keyFile; ///< holds the secret that all hosts share
     std::string previousKeyFile; ///< accepted beside the key while it is rotated; empty where there is none
     std::uint32_t bytesPerSecond = 5000; ///< budget for control messages sent
+    std::uint32_t requestBytesPerSecond = 2'000'000; ///< budget for messages sent for requests and flows
 
     friend bool operator==(const PeerSettings &, const PeerSettings &) = default;
 };
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -74,6 +74,7 @@
     }
     reader.text("previous-key-file", peers.previousKeyFile);
     reader.number("bytes-per-second", peers.bytesPerSecond, kPeerBytesPerSecond);
+    reader.number("request-bytes-per-second", peers.requestBytesPerSecond, kPeerBytesPerSecond);
     reader.refuseUnknown();
     if (faults.size() == before) {
         builder.peers(peers, reader.position("listen"));
--- /dev/null
+++ b/tests/daemon/fleet.cpp
@@ -0,0 +1,250 @@
+#include "daemon/fleet.h"
+
+#include "daemon/caller.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <chrono>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <poll.h>
+
+namespace medlarway
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+constexpr std::string_view kKey = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\n";
+constexpr int kDatagramTries = 3;
+constexpr int kDatagramWaitMilliseconds = 1000;
+
+std::string makeFolder()
+{
+    auto name = (std::filesystem::temp_directory_path() / "medlarway-fleet-XXXXXX").string();
+    if (mkdtemp(name.data()) == nullptr) {
+        throw std::runtime_error("no folder for a fleet: " + name);
+    }
+    return name;
+}
+
+// Replaces a file by a rename, so that a reader sees the old one or the new one.
+void replaceFile(const std::string &path, const std::string &text)
+{
+    std::ofstream(path + ".new") << text;
+    std::filesystem::rename(path + ".new", path);
+}
+
+std::string zoneOf(int host)
+{
+    return fmt::format("zone{}", host % 3);
+}
+
+std::string listText()
+{
+    std::string text = "hosts:\n";
+    for (int host = 1; host <= kFleetHosts; ++host) {
+        text += fmt::format("  - {{address: \"{}:9700\", zone: {}}}\n", loopbackAddress(host), zoneOf(host));
+    }
+    return text;
+}
+
+} // namespace
+
+Fleet::Fleet()
+    : folder_(makeFolder())
+{
+    replaceFile(folder_ + "/key", std::string(kKey));
+    for (const auto *name : {"first", "second"}) {
+        StandinUpstreamOptions options;
+        options.name = name;
+        upstreams_.push_back(std::make_unique<StandinUpstream>(options));
+    }
+    for (int host = 1; host <= kFleetHosts; ++host) {
+        publish(host, "");
+    }
+    for (int host = 1; host <= kFleetHosts; ++host) {
+        start(host);
+    }
+}
+
+Fleet::~Fleet()
+{
+    processes_.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+void Fleet::start(int host)
+{
+    const auto address = loopbackAddress(host);
+    const auto settings = fmt::format("host: {{address: {0}, zone: {1}}}\n"
+                                      "operator: {{listen: \"{0}:9900\"}}\n"
+                                      "peers: {{listen: \"{0}:9700\", key-file: {2}/key}}\n"
+                                      "platform: {{catalogue-file: {2}/catalogue{3}.yaml}}\n"
+                                      "guard: {{window: 4s}}\n"
+                                      "graces: {{requests: 10s, feeds: 2s}}\n{4}",
+                                      address, zoneOf(host), folder_, host, listText());
+    processes_.erase(host);
+    processes_.emplace(host, std::make_unique<DaemonProcess>(settings, ""));
+}
+
+std::string Fleet::catalogueText(const std::string &extraService) const
+{
+    const auto service = [this](const std::string &name, const std::string &rest, const auto &addressOf) {
+        auto text = fmt::format("- {{name: {}, owner: trust, {}, upstreams: [", name, rest);
+        int zone = 0;
+        for (const auto &upstream : upstreams_) {
+            text += fmt::format("{{address: \"{}\", zone: zone{}}},", endpointToString(addressOf(*upstream)), zone++);
+        }
+        return text + "]}\n";
+    };
+    const auto http = [](const StandinUpstream &upstream) { return upstream.httpAddress(); };
+    const auto stream = [](const StandinUpstream &upstream) { return upstream.streamAddress(); };
+    const auto datagram = [](const StandinUpstream &upstream) { return upstream.datagramAddress(); };
+    auto text = "services:\n" + service("quotes", "class: protected, kind: http, address: \"0.0.0.0:8080\"", http);
+    text += service("prices", "class: feed, kind: stream, address: \"0.0.0.0:8443\"", stream);
+    text += service("sensors", "class: feed, kind: datagram, address: \"0.0.0.0:8600\"", datagram);
+    if (!extraService.empty()) {
+        text += service(extraService, "class: idempotent, kind: http, address: \"0.0.0.0:8081\"", http);
+    }
+    return text;
+}
+
+void Fleet::publish(int host, const std::string &extraService)
+{
+    replaceFile(fmt::format("{}/catalogue{}.yaml", folder_, host), catalogueText(extraService));
+}
+
+std::string Fleet::operatorAddress(int host) const
+{
+    return loopbackAddress(host) + ":9900";
+}
+
+std::string Fleet::requests(int host) const
+{
+    return loopbackAddress(host) + ":8080";
+}
+
+std::string Fleet::feed(int host) const
+{
+    return loopbackAddress(host) + ":8443";
+}
+
+std::string Fleet::datagrams(int host) const
+{
+    return loopbackAddress(host) + ":8600";
+}
+
+std::vector<int> Fleet::running() const
+{
+    std::vector<int> hosts;
+    for (const auto &[host, process] : processes_) {
+        hosts.push_back(host);
+    }
+    return hosts;
+}
+
+nlohmann::json Fleet::state(int host) const
+{
+    const auto answer = askHttp(operatorAddress(host), "/state");
+    return answer.status == 200 ? nlohmann::json::parse(answer.body, nullptr, false) : nlohmann::json();
+}
+
+std::size_t Fleet::viewSize(int host) const
+{
+    const auto told = state(host);
+    return told.is_object() ? told["control"]["view"]["members"].size() : 0;
+}
+
+bool Fleet::waitTogether()
+{
+    return waitUntil(
+        [this] {
+            const auto hosts = running();
+            return std::all_of(hosts.begin(), hosts.end(),
+                               [&](int host) { return process(host).waitReady(operatorAddress(host)) && viewSize(host) == hosts.size(); });
+        },
+        std::chrono::seconds{30});
+}
+
+bool Fleet::waitGuardsReady()
+{
+    return waitUntil(
+        [this] {
+            const auto hosts = running();
+            return std::all_of(hosts.begin(), hosts.end(), [&](int host) {
+                const auto told = state(host);
+                return told.is_object() && told["control"]["guard"]["fullMemory"] == true;
+            });
+        },
+        std::chrono::seconds{30});
+}
+
+bool Fleet::serves(int host, const std::string &service) const
+{
+    const auto told = state(host);
+    if (!told.is_object()) {
+        return false;
+    }
+    const auto &services = told["dataPath"]["services"];
+    return std::any_of(services.begin(), services.end(), [&](const nlohmann::json &entry) { return entry["name"] == service; });
+}
+
+std::vector<std::string> Fleet::requestsRun() const
+{
+    std::vector<std::string> requests;
+    for (const auto &upstream : upstreams_) {
+        const auto ran = upstream->requestsRun();
+        requests.insert(requests.end(), ran.begin(), ran.end());
+    }
+    return requests;
+}
+
+std::set<std::string> Fleet::doubles() const
+{
+    std::set<std::string> seen;
+    std::set<std::string> doubles;
+    for (const auto &request : requestsRun()) {
+        const auto key = request.substr(request.rfind(' ') + 1);
+        if (!key.empty() && !seen.insert(key).second) {
+            doubles.insert(key);
+        }
+    }
+    return doubles;
+}
+
+ScatteredCaller::ScatteredCaller(const Fleet &fleet)
+    : fleet_(fleet)
+    , socket_(context_, udp::endpoint(asio::ip::address_v4::loopback(), 0))
+{
+}
+
+std::string ScatteredCaller::exchange(int host)
+{
+    const auto service = parseEndpoint(fleet_.datagrams(host)).value();
+    const auto payload = fmt::format("datagram {}", ++sent_);
+    for (int attempt = 0; attempt < kDatagramTries; ++attempt) {
+        boost::system::error_code error;
+        socket_.send_to(asio::buffer(payload), {asio::ip::address_v4(service.address), service.port}, 0, error);
+        pollfd waiting{socket_.native_handle(), POLLIN, 0};
+        while (poll(&waiting, 1, kDatagramWaitMilliseconds) > 0) {
+            std::array<char, 2048> buffer{};
+            udp::endpoint sender;
+            const auto size = socket_.receive_from(asio::buffer(buffer), sender, 0, error);
+            const std::string answer(buffer.data(), error ? 0 : size);
+            const auto name = answer.substr(0, answer.find(':'));
+            if (answer == name + ": " + payload) {
+                return name;
+            }
+        }
+    }
+    return "";
+}
+
+} // namespace medlarway
