flows: the owner of a flow is worked out once for each bucket and view

Cause: a relayed packet ranked every member, 3,515 ns at 890 hosts. Change: flows are placed by 65,536 buckets of their hash, whose owners are kept until the view changes.

--- a/src/flows/flow_packets.cpp
+++ b/src/flows/flow_packets.cpp
@@ -102,7 +102,7 @@
     }
     // Step 3. Another host's flow: to its owner. A packet that was relayed to this host tells that some host
     // takes this one for the holder; the owner is told that it isn't.
-    const auto owner = generations.owner(flowHash(key));
+    const auto owner = ownerOfFlow(key);
     if (!owner) {
         return dropped(key, ErrorKind::Draining);
     }
@@ -120,6 +120,18 @@
     return decideAsOwner(key, *owner, now, outbox);
 }
 
+// The owner in the current view. Ranking every member for each packet would cost
+// microseconds in a fleet of hundreds.
+std::optional<HostId> FlowRouter::Impl::ownerOfFlow(const FlowKey &key)
+{
+    const auto bucket = bucketOf(key);
+    auto &owner = bucketOwners[bucket];
+    if (owner == HostId{}) {
+        owner = generations.owner(bucket).value_or(HostId{});
+    }
+    return owner == HostId{} ? std::nullopt : std::optional(owner);
+}
+
 // A packet that has used up its hops at a host that knows another holder went
 // round between hosts that each take the other for the holder: ask it, once.
 FlowDecision FlowRouter::Impl::decideKnown(FlowEntry &entry, std::uint8_t hops, Outbox<FlowMessage> &outbox)
@@ -142,7 +154,7 @@
     if (table.isFull()) {
         return dropped(key, ErrorKind::FlowTableFull);
     }
-    auto asked = possibleHolders(flowHash(key), owner, now);
+    auto asked = possibleHolders(bucketOf(key), owner, now);
     if (asked.empty()) {
         return opened(key);
     }
@@ -158,11 +170,11 @@
 
 // The hosts that may hold a flow that this host has no entry of. None in steady
 // state: owners stayed the same, so what this host doesn't know is new.
-std::vector<HostId> FlowRouter::Impl::possibleHolders(std::uint64_t hash, HostId owner, Time now) const
+std::vector<HostId> FlowRouter::Impl::possibleHolders(std::uint64_t bucket, HostId owner, Time now) const
 {
     std::vector<HostId> hosts;
     // Step 1. The owners of earlier generations.
-    for (const auto host : generations.earlierOwners(hash)) {
+    for (const auto host : generations.earlierOwners(bucket)) {
         addOnce(hosts, host);
     }
     // Step 2. A freshly started host has no generations: the hosts that would own the flow without it.
@@ -175,7 +187,7 @@
             }
         }
         for (const auto *others : {&staying, &leavers}) {
-            for (const auto host : rankHosts(hash, *others, kAskedWhenFresh)) {
+            for (const auto host : rankHosts(bucket, *others, kAskedWhenFresh)) {
                 addOnce(hosts, host);
             }
         }
--- a/src/flows/flow_peers.cpp
+++ b/src/flows/flow_peers.cpp
@@ -73,7 +73,7 @@
         return;
     }
     // Step 3. Unknown. Where this host would count it as new, it is the asker's from now on.
-    if (claims && generations.owner(flowHash(key)) == self) {
+    if (claims && ownerOfFlow(key) == self) {
         if (auto *entry = table.findOrInsert(key, FlowPlace::Elsewhere); entry != nullptr) {
             setHolder(*entry, from);
             noteUse(*entry, now);
@@ -206,7 +206,7 @@
         setHolder(*entry, isHere ? HostId{} : holder);
         entry->upstream = flow.upstream;
         noteUse(*entry, now);
-        if (generations.owner(flowHash(key)) != self) {
+        if (ownerOfFlow(key) != self) {
             announcer.restart();
         }
     }
--- a/src/flows/flow_router.cpp
+++ b/src/flows/flow_router.cpp
@@ -61,6 +61,7 @@
     , settings(routerSettings)
     , startedAt(now)
     , nextTick(now + kStepInterval)
+    , bucketOwners(kBuckets)
     , table(settings.flowLimit)
     , lookups(settings.askTimeout)
     , announcer(self, settings.announcesPerSecond, settings.askTimeout)
@@ -97,6 +98,7 @@
     }
     generations.forgetBefore(now - settings.settleTime);
     generations.add(view, now);
+    bucketOwners.assign(kBuckets, HostId{});
     const auto changed = placementOf(view);
     if (changed != placement) {
         placement = changed;
@@ -169,7 +171,7 @@
 void FlowRouter::Impl::takeOver(FlowEntry &entry)
 {
     becomeHolder(entry);
-    if (generations.owner(flowHash(entry.key)) != self) {
+    if (ownerOfFlow(entry.key) != self) {
         announcer.restart();
     }
 }
@@ -210,7 +212,7 @@
     impl_->setHolder(*entry, HostId{});
     entry->upstream = upstream;
     entry->lastUsed = impl_->coarse(now);
-    if (impl_->generations.owner(flowHash(key)) != impl_->self) {
+    if (impl_->ownerOfFlow(key) != impl_->self) {
         impl_->announcer.restart();
     }
     return std::nullopt;
@@ -251,7 +253,7 @@
         if (entry.place == FlowPlace::Elsewhere && isKnown(entry.upstream) && !impl_->generations.isMember(entry.holder)) {
             impl_->becomeHolder(entry);
         }
-        return impl_->generations.owner(flowHash(entry.key)).value_or(HostId{});
+        return impl_->ownerOfFlow(entry.key).value_or(HostId{});
     };
     impl_->announcer.walk(impl_->table, now, ownerOfFlow, outbox);
 }
--- a/src/flows/flow_router_impl.h
+++ b/src/flows/flow_router_impl.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace medlarway
@@ -23,6 +24,7 @@
     View seen; ///< as it was given; differs from the current generation while this host is leaving
     Generations generations;
     std::uint64_t placement = 0; ///< a hash of the hosts that own flows now
+    std::vector<HostId> bucketOwners; ///< of the current view, by bucket; host 0 where not worked out yet
     std::vector<HostId> settledHosts; ///< they have announced all flows of this placement
     FlowTable table;
     FlowLookups lookups;
@@ -39,10 +41,11 @@
     bool expireEntry(FlowEntry &entry, std::uint32_t now, Outbox<FlowMessage> &outbox, FlowDecisions &decisions);
 
     // Packets.
+    std::optional<HostId> ownerOfFlow(const FlowKey &key);
     FlowDecision decide(const FlowKey &key, std::uint8_t hops, Time now, Outbox<FlowMessage> &outbox);
     FlowDecision decideKnown(FlowEntry &entry, std::uint8_t hops, Outbox<FlowMessage> &outbox);
     FlowDecision decideAsOwner(const FlowKey &key, HostId owner, Time now, Outbox<FlowMessage> &outbox);
-    std::vector<HostId> possibleHolders(std::uint64_t hash, HostId owner, Time now) const;
+    std::vector<HostId> possibleHolders(std::uint64_t bucket, HostId owner, Time now) const;
     bool isUsable(HostId holder, const Endpoint &upstream) const;
 
     // Look-ups.
@@ -68,6 +71,15 @@
     void giveWay(FlowEntry &entry, HostId holder, const Endpoint &upstream, FlowDecisions &decisions);
 };
 
+/// Flows are placed by buckets, so that the owner of a bucket is worked out once for each view.
+inline constexpr std::size_t kBuckets = 65'536;
+
+/// The bucket of a flow, the same on every host.
+inline std::size_t bucketOf(const FlowKey &key)
+{
+    return flowHash(key) % kBuckets;
+}
+
 /// True where the upstream of a flow is known.
 constexpr bool isKnown(const Endpoint &upstream)
 {
