--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -114,7 +114,7 @@
              {field("signal", signal), field("graces", fmt::format("{}/{}", durationToString(settings_.graces.requests),
                                                                    durationToString(settings_.graces.feeds)))});
     control_.beginLeave();
-    engine_.beginDrain();
+    engine_.beginDrain(settings_.graces.requests, settings_.graces.feeds);
     awaitDrained();
 }
 
--- a/src/proxy/engine.cpp
+++ b/src/proxy/engine.cpp
@@ -135,6 +135,14 @@
     }
 }
 
+// The data threads look at the graces only once they were told of the drain, which comes after.
+void ProxyEngine::beginDrain(Duration requestGrace, Duration feedGrace)
+{
+    impl_->options.requestGrace = requestGrace;
+    impl_->options.feedGrace = feedGrace;
+    beginDrain();
+}
+
 bool ProxyEngine::drained() const
 {
     return std::all_of(impl_->threads.begin(), impl_->threads.end(), [](const auto &thread) { return thread->drained(); });
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -81,6 +81,9 @@
     /// Begins the planned stop: nothing new is taken, what runs is finished within its grace.
     void beginDrain();
 
+    /// The same with graces other than those of the options. Call it once.
+    void beginDrain(Duration requestGrace, Duration feedGrace);
+
     /// Whether a planned stop is over.
     bool drained() const;
 
--- a/tests/daemon/single_host_test.cpp
+++ b/tests/daemon/single_host_test.cpp
@@ -25,11 +25,11 @@
     std::string sensors = host + ":8600";
 };
 
-std::string settingsText(const Places &places, const std::string &more = {})
+std::string settingsText(const Places &places, const std::string &more = {}, const std::string &feedGrace = "3s")
 {
     return fmt::format("host: {{address: {}, zone: a}}\noperator: {{listen: {}}}\nplatform: {{catalogue-file: catalogue.yaml}}\n"
-                       "graces: {{requests: 5s, feeds: 3s}}\n{}",
-                       places.host, places.operatorAddress, more);
+                       "graces: {{requests: 5s, feeds: {}}}\n{}",
+                       places.host, places.operatorAddress, feedGrace, more);
 }
 
 std::string serviceText(const std::string &name, const std::string &serviceClass, const std::string &kind, const std::string &address,
@@ -224,6 +224,15 @@
         CHECK(feed.echo("and still") == "and still");
         CHECK(sensor.exchange("two").substr(0, 5) == answer.substr(0, 5));
     }
+    SUBCASE("ends them by the grace that was read last")
+    {
+        daemon.write("settings.yaml", settingsText(places, {}, "60s"));
+        daemon.signal(SIGHUP);
+        CHECK(waitUntil([&] { return daemon.log().find("SettingsReloaded") != std::string::npos; }));
+        daemon.signal(SIGTERM);
+        CHECK_FALSE(daemon.waitExit(std::chrono::seconds{4}));
+        CHECK(feed.echo("still here") == "still here");
+    }
     SUBCASE("finishes them in its grace at a planned stop")
     {
         daemon.signal(SIGTERM);
