membership: a walk over a peer's list goes on where a chunk was lost

Change: the next peer is asked for the same chunk, since all tell their members in the order of ids; the view counts as confirmed only where every chunk came from a host whose own view is.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -259,11 +259,12 @@
         sync.reset();
         return;
     }
+    sync->confirmed = sync->confirmed && message.fresh;
     if (message.target != HostId{}) {
         sync->cursor = message.target;
         return;
     }
-    if (message.fresh) {
+    if (sync->confirmed) {
         fresh = true;
     }
     if (fresh) {
--- a/src/membership/membership_core.h
+++ b/src/membership/membership_core.h
@@ -26,6 +26,7 @@
     std::uint64_t sequence = 0;
     Time nextAt; ///< when the next chunk is asked for, of another peer where none came
     bool waiting = false;
+    bool confirmed = true; ///< every chunk so far came from a host whose own view is fresh
     bool whole = true; ///< walks to the end; else one chunk, to repair what gossip missed
 };
 
--- a/src/membership/membership_tick.cpp
+++ b/src/membership/membership_tick.cpp
@@ -224,12 +224,12 @@
 
 void Membership::Impl::beginSync(Time now)
 {
-    sync = PendingSync{HostId{}, HostId{}, 0, now, false, true};
+    sync = PendingSync{HostId{}, HostId{}, 0, now, false, true, true};
 }
 
 void Membership::Impl::beginRepair(Time now)
 {
-    sync = PendingSync{HostId{}, repairCursor, 0, now, false, false};
+    sync = PendingSync{HostId{}, repairCursor, 0, now, false, true, false};
 }
 
 // Some members are told directly, since nobody else knows yet; they pass it on.
@@ -250,7 +250,8 @@
     }
 }
 
-// Asks for the next chunk; where the last one did not come, another peer is asked from the start.
+// Asks for the next chunk; where the last one did not come, another peer is asked for it, since
+// all tell their members in the order of ids.
 void Membership::Impl::stepSync(Time now, Outbox<MembershipMessage> &outbox)
 {
     if (sync->waiting && !sync->whole) {
@@ -260,7 +261,6 @@
     }
     if (sync->waiting || sync->peer == HostId{}) {
         sync->peer = randomPeer(fresh);
-        sync->cursor = sync->whole ? HostId{} : sync->cursor;
     }
     sync->nextAt = now + kSyncStep;
     if (sync->peer == HostId{}) {
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -252,3 +252,17 @@
         }
     }
 }
+
+TEST_CASE("a host that starts again among 300 while a fifth of the messages is lost")
+{
+    Fleet fleet(300, 3, 4);
+    fleet.run(30s);
+    fleet.network.setConditions(NetworkConditions{1ms, 3ms, 0.2, 0.0});
+    fleet.start(2, 2000);
+    fleet.run(6s);
+
+    SUBCASE("knows the fleet within six seconds")
+    {
+        CHECK(fleet.at(2).view().members.size() >= 290);
+    }
+}
