--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -87,7 +87,7 @@
 ProxyPorts ControlDuty::ports()
 {
     ProxyPorts ports;
-    ports.askGuard = [this](const GuardKey &key, Duration window, Time deadline, GuardReply reply) {
+    ports.askGuard = [this](const GuardKey &key, Duration window, Time deadline, const GuardReply &reply) {
         const bool handed = thread_.hand([this, key, window, deadline, reply] { askGuard(key, window, deadline, reply); });
         if (!handed) {
             reply(GuardVerdict::Refused, Time{});
