--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -23,7 +23,7 @@
 
 /// How one host's data path runs. Times of zero mean at once.
 struct ProxyOptions {
-    HostId self;
+    HostId self; ///< never 0, which names no host
     AvailabilityZone zone;
     std::uint32_t bindAddress = 0; ///< taken where a service's address is 0.0.0.0; host byte order
     unsigned threads = 1; ///< data threads; each service belongs to one of them
--- a/src/proxy/http_exchange.cpp
+++ b/src/proxy/http_exchange.cpp
@@ -349,14 +349,16 @@
 asio::awaitable<AfterExchange> HttpExchange::runFeed()
 {
     AttemptEnd end;
+    std::vector<Endpoint> unreachable;
+    const auto hint = combineHash(connection_.callerEndpoint().address, connection_.callerEndpoint().port);
     for (int attempts = 0; attempts < kFeedAttempts; ++attempts) {
-        const auto hint = combineHash(combineHash(connection_.callerEndpoint().address, connection_.callerEndpoint().port), attempts);
-        const auto upstream = runner_.openConnection(hint);
+        const auto upstream = runner_.openOtherConnection(hint, unreachable);
         if (!upstream) {
             co_return co_await answerError(attempts == 0 ? ErrorKind::ConnectionLimit : ErrorKind::NoUpstream, std::chrono::seconds{1});
         }
         end = co_await attempt(*upstream);
         runner_.closeConnection(*upstream, end.result == AttemptResult::ConnectFailed);
+        unreachable.push_back(*upstream);
         const bool unrun = end.result == AttemptResult::ConnectFailed || end.result == AttemptResult::Shed;
         if (!unrun || !replayable() || connection_.interrupted() != Interrupt::None) {
             break;
--- a/src/proxy/service_runner.cpp
+++ b/src/proxy/service_runner.cpp
@@ -6,6 +6,7 @@
 #include "proxy/http_session.h"
 #include "proxy/stream_service.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace medlarway
@@ -16,6 +17,9 @@
 
 constexpr auto kListenAgain = std::chrono::seconds{1};
 
+// Hints that are tried for an upstream other than those found unreachable.
+constexpr int kPicks = 16;
+
 Endpoint listenAddress(const Service &service, const ProxyOptions &options)
 {
     auto result = service.address;
@@ -337,6 +341,20 @@
     return dispatcher_.openConnection(hint, currentTime());
 }
 
+// Another hint may give the same upstream again; it counts as failed again, which also
+// moves the dispatcher on to others.
+std::optional<Endpoint> ServiceRunner::openOtherConnection(std::uint64_t hint, const std::vector<Endpoint> &unreachable)
+{
+    for (int pick = 0; pick < kPicks; ++pick) {
+        const auto upstream = openConnection(pick == 0 ? hint : combineHash(hint, static_cast<std::uint64_t>(pick)));
+        if (!upstream || std::find(unreachable.begin(), unreachable.end(), *upstream) == unreachable.end()) {
+            return upstream;
+        }
+        closeConnection(*upstream, true);
+    }
+    return std::nullopt;
+}
+
 void ServiceRunner::closeConnection(const Endpoint &upstream, bool failed)
 {
     dispatcher_.closeConnection(upstream, failed, currentTime());
--- a/src/proxy/service_runner.h
+++ b/src/proxy/service_runner.h
@@ -86,6 +86,8 @@
     void cancel(RequestId id);
     void forget(RequestId id); ///< the request has ended; its waiter is not called again
     std::optional<Endpoint> openConnection(std::uint64_t hint);
+    /// One that isn't among those that could not be reached a moment ago, where there is one.
+    std::optional<Endpoint> openOtherConnection(std::uint64_t hint, const std::vector<Endpoint> &unreachable);
     void closeConnection(const Endpoint &upstream, bool failed);
     UpstreamPool &pool();
     AnswerStore &answers();
--- a/src/proxy/stream_service.cpp
+++ b/src/proxy/stream_service.cpp
@@ -25,12 +25,14 @@
 class Stream final : public CallerConnection, public std::enable_shared_from_this<Stream>
 {
 public:
-    Stream(std::shared_ptr<ServiceRunner> runner, tcp::socket caller)
+    Stream(std::shared_ptr<ServiceRunner> runner, tcp::socket socket)
         : runner_(std::move(runner))
-        , sockets_{std::move(caller), tcp::socket(runner_->thread().context())}
+        , sockets_{std::move(socket), tcp::socket(runner_->thread().context())}
         , timer_(runner_->thread().context())
     {
-        callerHash_ = mixBits(callerOf(sockets_[kCaller]).address);
+        // With the port, so that the streams of one address spread over the upstreams.
+        const auto caller = callerOf(sockets_[kCaller]);
+        callerHash_ = combineHash(caller.address, caller.port);
     }
 
     ~Stream() override
@@ -90,7 +92,7 @@
 
     void connect()
     {
-        upstream_ = runner_->openConnection(combineHash(callerHash_, static_cast<std::uint64_t>(attempts_)));
+        upstream_ = runner_->openOtherConnection(callerHash_, unreachable_);
         if (!upstream_) {
             refuse(attempts_ == 0 ? ErrorKind::ConnectionLimit : ErrorKind::NoUpstream);
             return;
@@ -115,6 +117,7 @@
         }
         if (error || !sockets_[kUpstream].is_open()) {
             count(Counter::UpstreamFailures);
+            unreachable_.push_back(*upstream_);
             releaseUpstream(true);
             if (attempts_ < kConnectAttempts) {
                 connect();
@@ -259,6 +262,7 @@
     asio::steady_timer timer_;
     std::uint64_t callerHash_ = 0;
     std::optional<Endpoint> upstream_;
+    std::vector<Endpoint> unreachable_;
     int attempts_ = 0;
     bool connected_ = false;
     bool counted_ = false;
--- a/tests/proxy/fixture.h
+++ b/tests/proxy/fixture.h
@@ -13,6 +13,7 @@
     explicit Fixture(ProxyPorts ports = {}, const std::function<void(ProxyOptions &)> &adjust = {})
     {
         ProxyOptions options;
+        options.self = HostId{1};
         options.bindAddress = 0x7f000001;
         options.requestGrace = std::chrono::seconds{5};
         options.feedGrace = std::chrono::seconds{5};
--- a/tests/proxy/guard_test.cpp
+++ b/tests/proxy/guard_test.cpp
@@ -97,6 +97,7 @@
             Wire caller(fixture.serve(service));
             caller.send(keyed("a"));
             CHECK(caller.readMessage().status() == 200);
+            REQUIRE(eventually([&] { return settled().size() == 2; })); // the answer is on its way before it is settled
             CHECK(settled() == std::vector{RunResult::NotRun, RunResult::Ended});
             CHECK(asks == 2);
         }
