yaml: a text that the library would read without end is refused

Cause: the fuzz target of the settings found a malformed text on which YAML::LoadAll never ends and takes memory until the process dies; a value of the platform takes the same way.

--- a/src/yaml/map_reader.cpp
+++ b/src/yaml/map_reader.cpp
@@ -3,18 +3,76 @@
 #include "yaml/scalars.h"
 
 #include <fmt/format.h>
+#include <sstream>
+#include <yaml-cpp/eventhandler.h>
 
 namespace medlarway
 {
 
+namespace
+{
+
+constexpr int kDocumentsLookedAt = 2;
+
+// Sees a text's parts without building anything of them.
+class DocumentCounter : public YAML::EventHandler
+{
+public:
+    int documents = 0;
+    bool hasAlias = false;
+
+    void OnDocumentStart(const YAML::Mark & /*mark*/) override
+    {
+        ++documents;
+    }
+    void OnAlias(const YAML::Mark & /*mark*/, YAML::anchor_t /*anchor*/) override
+    {
+        hasAlias = true;
+    }
+    void OnDocumentEnd() override { }
+    void OnNull(const YAML::Mark & /*mark*/, YAML::anchor_t /*anchor*/) override { }
+    void OnScalar(const YAML::Mark & /*mark*/, const std::string & /*tag*/, YAML::anchor_t /*anchor*/,
+                  const std::string & /*value*/) override
+    {
+    }
+    void OnSequenceStart(const YAML::Mark & /*mark*/, const std::string & /*tag*/, YAML::anchor_t /*anchor*/,
+                         YAML::EmitterStyle::value /*style*/) override
+    {
+    }
+    void OnSequenceEnd() override { }
+    void OnMapStart(const YAML::Mark & /*mark*/, const std::string & /*tag*/, YAML::anchor_t /*anchor*/,
+                    YAML::EmitterStyle::value /*style*/) override
+    {
+    }
+    void OnMapEnd() override { }
+};
+
+// YAML::LoadAll never ends on some malformed texts, so that no more documents are asked for than are needed.
+DocumentCounter lookThrough(const std::string &text)
+{
+    std::istringstream stream(text);
+    YAML::Parser parser(stream);
+    DocumentCounter counter;
+    for (int document = 0; document < kDocumentsLookedAt && parser.HandleNextDocument(counter); ++document) {
+    }
+    return counter;
+}
+
+} // namespace
+
 std::optional<YAML::Node> readDocument(std::string_view text, Faults &faults)
 {
     try {
-        const auto documents = YAML::LoadAll(std::string(text));
-        if (documents.size() == 1) {
-            return documents.front();
+        const std::string copy(text);
+        const auto seen = lookThrough(copy);
+        if (seen.documents != 1) {
+            faults.push_back({{1, 1}, "must hold exactly one YAML document"});
+        } else if (seen.hasAlias) {
+            // A node that holds itself by an alias is never freed.
+            faults.push_back({{1, 1}, "must not use aliases (*name)"});
+        } else {
+            return YAML::Load(copy);
         }
-        faults.push_back({{1, 1}, fmt::format("must hold exactly one YAML document, holds {}", documents.size())});
     } catch (const YAML::Exception &exception) {
         const auto known = !exception.mark.is_null();
         const auto position = known ? Position{exception.mark.line + 1, exception.mark.column + 1} : Position{};
--- a/tests/yaml/scalars_test.cpp
+++ b/tests/yaml/scalars_test.cpp
@@ -50,6 +50,19 @@
         CHECK_FALSE(readDocument("a: 1\n---\nb: 2\n", faults));
         CHECK(faults.size() == 2);
     }
+    SUBCASE("that the library would read without end is refused")
+    {
+        const std::string text(", Settings of one host. Every key iso long for open feeds\012limits:\012  head-bytes: 163 shown; "
+                               "docs/Oers.p$evious.key   # while the key is rotated\012  bytesvery key i",
+                               160);
+        CHECK_FALSE(readDocument(text, faults));
+        CHECK(faults.size() == 1);
+    }
+    SUBCASE("that repeats a part by an alias is refused")
+    {
+        CHECK_FALSE(readDocument("a: &name [*name]\n", faults));
+        CHECK(faultsToString(faults) == "1:1: must not use aliases (*name)");
+    }
     SUBCASE("with one key twice names both places")
     {
         const auto node = readDocument("a: 1\nb: 2\na: 3\n", faults);
