--- a/src/cluster/host_core.h
+++ b/src/cluster/host_core.h
@@ -27,7 +27,7 @@
 
 /// A message that a peer has for the data path.
 template<class Message>
-struct Delivery {
+struct Received {
     HostId from;
     Message message;
 };
@@ -37,8 +37,8 @@
     Outbox<PeerMessage> messages;
     GuardDecisions verdicts;
     std::vector<MembershipNews> news;
-    std::vector<Delivery<ServiceSlotMessage>> slots;
-    std::vector<Delivery<ServiceFlowMessage>> flows;
+    std::vector<Received<ServiceSlotMessage>> slots;
+    std::vector<Received<ServiceFlowMessage>> flows;
     std::shared_ptr<const View> view; ///< the new one, null where it is unchanged
     std::shared_ptr<const Catalogue> catalogue; ///< the new one, null where it is unchanged
     std::optional<std::vector<std::string>> shardsToRead; ///< the new ones, where they changed
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -37,7 +37,7 @@
 /// How long a planned stop lets running work finish.
 struct GraceSettings {
     Duration requests = std::chrono::seconds{30};
-    Duration feeds = std::chrono::minutes{5};
+    Duration feeds = std::chrono::hours{12};
 
     friend bool operator==(const GraceSettings &, const GraceSettings &) = default;
 };
--- /dev/null
+++ b/tests/cluster/host_core_test.cpp
@@ -0,0 +1,167 @@
+#include "cluster/host_core.h"
+#include "harness/message_network.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <set>
+
+using namespace medlarway;
+
+namespace
+{
+
+constexpr Duration kWindow = std::chrono::seconds{5};
+constexpr GuardKey kKey{1, 2, 3};
+
+// Whole hosts in one loop, which exchange encoded messages over a seeded network.
+class CoreFleet
+{
+public:
+    explicit CoreFleet(int hosts)
+        : network_(7)
+    {
+        for (int number = 1; number <= hosts; ++number) {
+            listed_.push_back({Endpoint{0x0a000000U + static_cast<unsigned>(number), 7400}, zoneOf(number), false});
+        }
+        for (int number = 1; number <= hosts; ++number) {
+            start(number, static_cast<std::uint64_t>(number));
+        }
+    }
+
+    static AvailabilityZone zoneOf(int number)
+    {
+        return AvailabilityZone{"zone" + std::to_string(number % 3)};
+    }
+
+    HostId id(int number) const
+    {
+        return hostIdOf(listed_.at(static_cast<std::size_t>(number) - 1).address);
+    }
+
+    HostCore &core(int number)
+    {
+        return *cores_.at(id(number));
+    }
+
+    void start(int number, std::uint64_t incarnation)
+    {
+        HostCoreOptions options;
+        options.self = id(number);
+        options.zone = zoneOf(number);
+        options.incarnation = incarnation;
+        options.seed = incarnation;
+        options.guard.longestWindow = kWindow;
+        options.guard.silence = kWindow;
+        cores_[options.self] = std::make_unique<HostCore>(options, now);
+        act(options.self, [&](HostCore &host, HostActions &actions) { host.setListed(listed_, now, actions); });
+    }
+
+    template<class Work>
+    void act(HostId host, Work work)
+    {
+        HostActions actions;
+        work(*cores_.at(host), actions);
+        network_.send(host, actions.messages, now);
+        for (const auto &decision : actions.verdicts) {
+            verdicts[decision.ask] = decision.verdict;
+        }
+        for (const auto &entry : actions.news) {
+            news[host].push_back(entry.kind);
+        }
+    }
+
+    // Drives every host but those that are paused.
+    void run(Duration span)
+    {
+        const auto end = now + span;
+        while (now < end) {
+            now += std::chrono::milliseconds{10};
+            for (auto &delivery : network_.arrived(now)) {
+                if (cores_.contains(delivery.to) && !paused.contains(delivery.to)) {
+                    const auto kind = static_cast<std::uint8_t>(delivery.message.index());
+                    const auto read = decodePeerMessage(kind, encodePeerMessage(delivery.message));
+                    act(delivery.to, [&](HostCore &host, HostActions &actions) { host.receive(delivery.from, read, now, actions); });
+                }
+            }
+            for (auto &[host, core] : cores_) {
+                if (!paused.contains(host) && core->nextTick() <= now) {
+                    act(host, [&](HostCore &ticked, HostActions &actions) { ticked.tick(now, actions); });
+                }
+            }
+        }
+    }
+
+    AskId ask(int number)
+    {
+        AskId ask = 0;
+        act(id(number),
+            [&](HostCore &host, HostActions &actions) { ask = host.askGuard(kKey, kWindow, now + std::chrono::seconds{2}, now, actions); });
+        return ask;
+    }
+
+    void publish(int number, std::uint64_t revision)
+    {
+        act(id(number), [&](HostCore &host, HostActions &actions) { host.offerShard(CatalogueShard{"main", revision, {}}, now, actions); });
+    }
+
+    Time now{std::chrono::hours{1}};
+    std::set<HostId> paused;
+    std::map<AskId, GuardVerdict> verdicts;
+    std::map<HostId, std::vector<MembershipNewsKind>> news;
+
+private:
+    MessageNetwork<PeerMessage> network_;
+    std::vector<ListedHost> listed_;
+    std::map<HostId, std::unique_ptr<HostCore>> cores_;
+};
+
+} // namespace
+
+TEST_CASE("the cores of five hosts")
+{
+    CoreFleet fleet(5);
+    fleet.run(std::chrono::seconds{15});
+
+    SUBCASE("see each other")
+    {
+        for (int number = 1; number <= 5; ++number) {
+            CHECK(fleet.core(number).membership().view().members.size() == 5);
+        }
+    }
+
+    SUBCASE("put what one of them read in force everywhere, and a lower revision nowhere")
+    {
+        fleet.publish(2, 9);
+        fleet.run(std::chrono::seconds{2});
+        fleet.publish(4, 8);
+        fleet.run(std::chrono::seconds{2});
+        for (int number = 1; number <= 5; ++number) {
+            CHECK(fleet.core(number).catalogue().shardRevision("main") == 9);
+        }
+    }
+
+    SUBCASE("let a key run at one of them only")
+    {
+        const auto first = fleet.ask(1);
+        fleet.run(std::chrono::seconds{1});
+        const auto second = fleet.ask(3);
+        fleet.run(std::chrono::seconds{3});
+        CHECK(fleet.verdicts.at(first) == GuardVerdict::Run);
+        CHECK(fleet.verdicts.at(second) != GuardVerdict::Run);
+    }
+
+    SUBCASE("notice that one of them was paused, which then lets no key run on what it knew")
+    {
+        const auto ask = fleet.ask(2);
+        fleet.paused.insert(fleet.id(2));
+        fleet.run(std::chrono::seconds{20});
+        CHECK(fleet.core(1).membership().view().members.size() == 4);
+        fleet.paused.clear();
+        fleet.run(std::chrono::seconds{10});
+        const auto &news = fleet.news[fleet.id(2)];
+        CHECK(std::find(news.begin(), news.end(), MembershipNewsKind::WokeLate) != news.end());
+        CHECK(fleet.verdicts.at(ask) != GuardVerdict::Run);
+        CHECK(fleet.core(1).membership().view().members.size() == 5);
+    }
+}
--- a/tests/model/policy_bench_test.cpp
+++ b/tests/model/policy_bench_test.cpp
@@ -1,4 +1,4 @@
-#include "model/policy_bench.h"
+#include "harness/policy_rows.h"
 
 #include <doctest/doctest.h>
 #include <fstream>
@@ -6,19 +6,6 @@
 using namespace medlarway;
 using namespace medlarway::model;
 
-namespace
-{
-
-constexpr std::uint64_t kSeeds = 10;
-
-const std::vector<BenchRow> &benchRows()
-{
-    static const std::vector<BenchRow> kRows = runBench(committedScenarios(), comparedPolicies(), kSeeds);
-    return kRows;
-}
-
-} // namespace
-
 TEST_CASE("the policy bench")
 {
     SUBCASE("comes to the signature in bench/policy_signature.txt")
