--- a/src/standin/upstream.cpp
+++ b/src/standin/upstream.cpp
@@ -102,7 +102,10 @@
     asio::awaitable<void> serveHttp(tcp::socket socket);
     asio::awaitable<void> serveStream(tcp::socket socket);
     asio::awaitable<void> serveDatagrams();
-    Response answer(const Request &request);
+    asio::awaitable<Response> work(const Request &request);
+    bool takeSlot();
+    Response answer(const Request &request) const;
+    Response shed(const Request &request) const;
     void record(const Request &request);
 
     StandinUpstreamOptions options;
@@ -114,6 +117,8 @@
     std::thread thread;
     mutable std::mutex mutex;
     std::vector<std::string> run; ///< guarded by the mutex
+    std::size_t shedCount = 0; ///< guarded by the mutex
+    std::size_t slotsTaken = 0; ///< of the context's thread
 };
 
 // A connection counts as open while its coroutine's frame lives.
@@ -153,7 +158,6 @@
 {
     const OpenSocket open(sockets, socket);
     beast::flat_buffer buffer;
-    asio::steady_timer timer(context);
     bool keepAlive = true;
     while (keepAlive) {
         http::request_parser<http::string_body> parser;
@@ -163,17 +167,50 @@
             break;
         }
         const auto &request = parser.get();
-        record(request);
-        timer.expires_after(std::chrono::milliseconds(queryNumber({request.target().data(), request.target().size()}, "delay")));
-        co_await timer.async_wait(kWaitForCompletion);
-        auto response = answer(request);
+        auto response = co_await work(request);
         keepAlive = response.keep_alive();
         const auto [writeError, written] = co_await http::async_write(socket, response, kWaitForCompletion);
         keepAlive = keepAlive && !writeError;
     }
 }
 
-Response StandinUpstream::Impl::answer(const Request &request)
+// Runs a request for as long as it asks, in a slot where slots are limited.
+asio::awaitable<Response> StandinUpstream::Impl::work(const Request &request)
+{
+    if (!takeSlot()) {
+        co_return shed(request);
+    }
+    record(request);
+    asio::steady_timer timer(context);
+    timer.expires_after(std::chrono::milliseconds(queryNumber({request.target().data(), request.target().size()}, "delay")));
+    co_await timer.async_wait(kWaitForCompletion);
+    --slotsTaken;
+    co_return answer(request);
+}
+
+bool StandinUpstream::Impl::takeSlot()
+{
+    if (options.slots != 0 && slotsTaken >= options.slots) {
+        const std::lock_guard lock(mutex);
+        ++shedCount;
+        return false;
+    }
+    ++slotsTaken;
+    return true;
+}
+
+// Retry-After is the word of an upstream that the request did not run.
+Response StandinUpstream::Impl::shed(const Request &request) const
+{
+    Response response{http::status::service_unavailable, request.version()};
+    response.keep_alive(request.keep_alive());
+    response.set(http::field::retry_after, "1");
+    response.set("Standin-Name", options.name);
+    response.prepare_payload();
+    return response;
+}
+
+Response StandinUpstream::Impl::answer(const Request &request) const
 {
     const std::string target(request.target());
     Response response{http::status::ok, request.version()};
@@ -261,4 +298,10 @@
     return impl_->run;
 }
 
+std::size_t StandinUpstream::requestsShed() const
+{
+    const std::lock_guard lock(impl_->mutex);
+    return impl_->shedCount;
+}
+
 } // namespace medlarway
--- a/src/standin/upstream.h
+++ b/src/standin/upstream.h
@@ -15,6 +15,7 @@
     Endpoint http{0x7f000001, 0};
     Endpoint stream{0x7f000001, 0};
     Endpoint datagram{0x7f000001, 0};
+    std::size_t slots = 0; ///< HTTP requests that run at once; over it the answer is 503 with Retry-After, unrun; 0 sets no limit
     bool printRequests = false; ///< one line on standard output for each request that ran
 };
 
@@ -36,6 +37,9 @@
     /// "METHOD TARGET KEY" of every HTTP request that ran, in order; KEY is its Idempotency-Key or empty.
     std::vector<std::string> requestsRun() const;
 
+    /// How many HTTP requests found every slot taken.
+    std::size_t requestsShed() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- a/tests/daemon/caller.cpp
+++ b/tests/daemon/caller.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <chrono>
 #include <limits>
 
@@ -73,6 +74,8 @@
                 if (!failed(readError, "read")) {
                     answer.status = static_cast<int>(parser.get().result_int());
                     answer.outcome = std::string(parser.get()["Medlarway-Outcome"]);
+                    const auto retryAfter = parser.get()[http::field::retry_after];
+                    std::from_chars(retryAfter.data(), retryAfter.data() + retryAfter.size(), answer.retryAfterSeconds);
                     answer.body = parser.get().body();
                 }
             });
--- a/tests/daemon/caller.h
+++ b/tests/daemon/caller.h
@@ -14,6 +14,7 @@
 struct CallerAnswer {
     int status = 0; ///< 0 where no whole answer came back
     std::string outcome; ///< the header Medlarway-Outcome
+    int retryAfterSeconds = 0; ///< the header Retry-After; 0 where there is none
     std::string body;
     std::string fault; ///< why there is no whole answer
 };
--- a/tests/daemon/fleet.cpp
+++ b/tests/daemon/fleet.cpp
@@ -56,23 +56,33 @@
 
 } // namespace
 
-Fleet::Fleet()
-    : folder_(makeFolder())
+Fleet::Fleet(FleetOptions options)
+    : options_(std::move(options))
+    , folder_(makeFolder())
+    , upstreams_(makeUpstreams("upstream"))
+    , extraUpstreams_(makeUpstreams("extra"))
 {
     replaceFile(folder_ + "/key", std::string(kKey));
-    for (const auto *name : {"first", "second"}) {
-        StandinUpstreamOptions options;
-        options.name = name;
-        upstreams_.push_back(std::make_unique<StandinUpstream>(options));
-    }
     for (int host = 1; host <= kFleetHosts; ++host) {
-        publish(host, "");
+        publish(host, options_.extraService);
     }
     for (int host = 1; host <= kFleetHosts; ++host) {
         start(host);
     }
 }
 
+Fleet::Upstreams Fleet::makeUpstreams(const std::string &prefix) const
+{
+    Upstreams made;
+    for (int number = 0; number < options_.upstreams; ++number) {
+        StandinUpstreamOptions options;
+        options.name = fmt::format("{}{}", prefix, number);
+        options.slots = options_.slots;
+        made.push_back(std::make_unique<StandinUpstream>(options));
+    }
+    return made;
+}
+
 Fleet::~Fleet()
 {
     processes_.clear();
@@ -96,10 +106,10 @@
 
 std::string Fleet::catalogueText(const std::string &extraService) const
 {
-    const auto service = [this](const std::string &name, const std::string &rest, const auto &addressOf) {
+    const auto service = [](const std::string &name, const std::string &rest, const Upstreams &upstreams, const auto &addressOf) {
         auto text = fmt::format("- {{name: {}, owner: trust, {}, upstreams: [", name, rest);
         int zone = 0;
-        for (const auto &upstream : upstreams_) {
+        for (const auto &upstream : upstreams) {
             text += fmt::format("{{address: \"{}\", zone: zone{}}},", endpointToString(addressOf(*upstream)), zone++);
         }
         return text + "]}\n";
@@ -107,11 +117,12 @@
     const auto http = [](const StandinUpstream &upstream) { return upstream.httpAddress(); };
     const auto stream = [](const StandinUpstream &upstream) { return upstream.streamAddress(); };
     const auto datagram = [](const StandinUpstream &upstream) { return upstream.datagramAddress(); };
-    auto text = "services:\n" + service("quotes", "class: protected, kind: http, address: \"0.0.0.0:8080\"", http);
-    text += service("prices", "class: feed, kind: stream, address: \"0.0.0.0:8443\"", stream);
-    text += service("sensors", "class: feed, kind: datagram, address: \"0.0.0.0:8600\"", datagram);
+    const auto limits = fmt::format("limits: {{{}}}", options_.limits);
+    auto text = "services:\n" + service("quotes", "class: protected, kind: http, address: \"0.0.0.0:8080\", " + limits, upstreams_, http);
+    text += service("prices", "class: feed, kind: stream, address: \"0.0.0.0:8443\"", upstreams_, stream);
+    text += service("sensors", "class: feed, kind: datagram, address: \"0.0.0.0:8600\"", upstreams_, datagram);
     if (!extraService.empty()) {
-        text += service(extraService, "class: idempotent, kind: http, address: \"0.0.0.0:8081\"", http);
+        text += service(extraService, "class: idempotent, kind: http, address: \"0.0.0.0:8081\", " + limits, extraUpstreams_, http);
     }
     return text;
 }
@@ -131,6 +142,11 @@
     return loopbackAddress(host) + ":8080";
 }
 
+std::string Fleet::extra(int host) const
+{
+    return loopbackAddress(host) + ":8081";
+}
+
 std::string Fleet::feed(int host) const
 {
     return loopbackAddress(host) + ":8443";
@@ -156,6 +172,14 @@
     return answer.status == 200 ? nlohmann::json::parse(answer.body, nullptr, false) : nlohmann::json();
 }
 
+long Fleet::counter(int host, const std::string &name) const
+{
+    const auto text = askHttp(operatorAddress(host), "/counters").body;
+    const auto line = fmt::format("\nmedlarway_{} ", name);
+    const auto found = text.find(line);
+    return found == std::string::npos ? -1 : std::stol(text.substr(found + line.size()));
+}
+
 std::size_t Fleet::viewSize(int host) const
 {
     const auto told = state(host);
@@ -199,13 +223,26 @@
 std::vector<std::string> Fleet::requestsRun() const
 {
     std::vector<std::string> requests;
-    for (const auto &upstream : upstreams_) {
-        const auto ran = upstream->requestsRun();
-        requests.insert(requests.end(), ran.begin(), ran.end());
+    for (const auto *upstreams : {&upstreams_, &extraUpstreams_}) {
+        for (const auto &upstream : *upstreams) {
+            const auto ran = upstream->requestsRun();
+            requests.insert(requests.end(), ran.begin(), ran.end());
+        }
     }
     return requests;
 }
 
+std::size_t Fleet::requestsShed() const
+{
+    std::size_t times = 0;
+    for (const auto *upstreams : {&upstreams_, &extraUpstreams_}) {
+        for (const auto &upstream : *upstreams) {
+            times += upstream->requestsShed();
+        }
+    }
+    return times;
+}
+
 std::set<std::string> Fleet::doubles() const
 {
     std::set<std::string> seen;
--- a/tests/daemon/fleet.h
+++ b/tests/daemon/fleet.h
@@ -17,12 +17,20 @@
 
 inline constexpr int kFleetHosts = 5;
 
-/// Five real daemons in three availability zones, each with a catalogue file of its own, before two
+/// What stands behind a fleet.
+struct FleetOptions {
+    int upstreams = 2;
+    std::size_t slots = 0; ///< of each upstream, as StandinUpstreamOptions has them
+    std::string limits; ///< of the HTTP services, as the catalogue writes them
+    std::string extraService; ///< is there from the start, as publish() would add it
+};
+
+/// Five real daemons in three availability zones, each with a catalogue file of its own, before
 /// stand-in upstreams. Hosts count from 1.
 class Fleet
 {
 public:
-    Fleet();
+    explicit Fleet(FleetOptions options = {});
     ~Fleet();
     Fleet(const Fleet &) = delete;
     Fleet &operator=(const Fleet &) = delete;
@@ -53,22 +61,29 @@
     /// The state that a host tells; null where it does not answer.
     nlohmann::json state(int host) const;
 
+    /// The value of one of a host's counters; -1 where it does not answer.
+    long counter(int host, const std::string &name) const;
+
     /// How many hosts are in a host's view.
     std::size_t viewSize(int host) const;
 
-    /// Gives one host a catalogue in which the named service exists beside the others.
+    /// Gives one host a catalogue in which the named service, idempotent and with upstreams of its own, exists beside the others.
     void publish(int host, const std::string &extraService);
 
     /// Whether the service is in force on the host.
     bool serves(int host, const std::string &service) const;
 
     std::string requests(int host) const; ///< where a host's protected HTTP service is
+    std::string extra(int host) const; ///< where a host's extra service is
     std::string feed(int host) const; ///< where a host's stream service is
     std::string datagrams(int host) const; ///< where a host's datagram service is
 
-    /// "METHOD TARGET KEY" of every request that ran on either upstream.
+    /// "METHOD TARGET KEY" of every request that ran on an upstream.
     std::vector<std::string> requestsRun() const;
 
+    /// How often a request found an upstream full.
+    std::size_t requestsShed() const;
+
     /// Keys that ran more than once.
     std::set<std::string> doubles() const;
 
@@ -76,8 +91,14 @@
     std::string catalogueText(const std::string &extraService) const;
     std::string operatorAddress(int host) const;
 
+    using Upstreams = std::vector<std::unique_ptr<StandinUpstream>>;
+
+    Upstreams makeUpstreams(const std::string &prefix) const;
+
+    FleetOptions options_;
     std::string folder_;
-    std::vector<std::unique_ptr<StandinUpstream>> upstreams_;
+    Upstreams upstreams_;
+    Upstreams extraUpstreams_;
     std::map<int, std::unique_ptr<DaemonProcess>> processes_;
 };
 
