guard: list changes that overtake each other are checked; four causes of doubles mended

Cause: the check assumed that each list change reaches all running hosts before the next. Without that there are four doubles, found by one trace and by working through the shrunk steps: a host restarted alone trusts itself after a window though others still use an earlier list; an ask that waits leaves out a list that comes into force meanwhile; two restarted guards vouch for each other for a list that only one of them knows (also with one change); two hosts with disjoint lists close the earlier list by the same guard. An ask is won only with all sets known now. A full memory is full for every known list, told by hosts that know all of them. A host has moved on once it has told its lists.

--- a/src/guard/guard_memory.cpp
+++ b/src/guard/guard_memory.cpp
@@ -17,6 +17,12 @@
     return std::find(set.hosts.begin(), set.hosts.end(), host) != set.hosts.end();
 }
 
+bool knowsAll(const std::vector<GuardSet> &known, const std::vector<GuardSet> &lists)
+{
+    return std::all_of(lists.begin(), lists.end(),
+                       [&known](const GuardSet &list) { return std::find(known.begin(), known.end(), list) != known.end(); });
+}
+
 } // namespace
 
 GuardMemory::GuardMemory(HostId self, const GuardSettings &settings, std::uint64_t seed, Time now)
@@ -32,10 +38,14 @@
 }
 
 // Votes from before the start don't matter any more once the window and the
-// lease of the youngest have passed.
+// lease of the youngest have passed. Hosts with an earlier list may go on to
+// grant keys without this host until they are taken to be stopped.
 bool GuardMemory::isOldEnough(Duration window, Time now) const
 {
-    const auto silence = std::min(window, settings_.silence);
+    auto silence = std::min(window, settings_.silence);
+    if (silence != Duration{0} && earlierLists_ == EarlierLists::MayBeInUse) {
+        silence += settings_.listGiveUp;
+    }
     return silence == Duration{0} || now >= startedAt_ + silence + silence / 64 + settings_.lease;
 }
 
@@ -62,12 +72,24 @@
     return isGuard;
 }
 
+// Other guards rely on this one for every list that matters, not for the
+// current one alone: two hosts that were started one after the other would
+// vouch for each other.
 bool GuardMemory::isFull(const Rosters &rosters, Time now) const
 {
     if (isOldEnough(settings_.longestWindow, now)) {
         return true;
     }
-    const auto &hosts = rosters.current();
+    const auto lists = rosters.all();
+    const auto isGuard = [this](const GuardSet &list) { return contains(list, self_); };
+    const auto isFullHere = [this](const GuardSet &list) { return isFullFor(list.hosts); };
+    return std::any_of(lists.begin(), lists.end(), isGuard)
+           && std::all_of(lists.begin(), lists.end(), [&](const GuardSet &list) { return !isGuard(list) || isFullHere(list); });
+}
+
+// At most so many hosts of the list may be missing that enough guards of every key have told.
+bool GuardMemory::isFullFor(const std::vector<HostId> &hosts) const
+{
     const auto missing
         = std::count_if(hosts.begin(), hosts.end(), [this](HostId host) { return host != self_ && !complete_.contains(host); });
     const auto allowed = majorityOf(std::min(settings_.guardCount, hosts.size()));
@@ -81,7 +103,7 @@
     }
     nextRequest_ = now + kRequestInterval;
     ++lastRequest_;
-    for (const auto host : rosters.current()) {
+    for (const auto host : rosters.hosts()) {
         if (host != self_ && !complete_.contains(host)) {
             GuardMessage message;
             message.kind = GuardMessageKind::MemoryRequest;
@@ -98,13 +120,23 @@
     if (!isExpected) {
         return;
     }
+    const auto listsBefore = rosters.all().size();
     for (const auto &list : message.guards) {
         rosters.addEarlier(list.hosts, now);
     }
+    // Hosts that told before did not know a list that is new here: they vouched for less.
+    if (rosters.all().size() > listsBefore) {
+        complete_.clear();
+        parts_.clear();
+    }
     // A host that has forgotten keys itself tells its lists only.
     if (message.part >= message.parts) {
         return;
     }
+    // One that doesn't know a list that is known here can't vouch for that list's keys. The lists come with the first part.
+    if (message.part == 0 && !knowsAll(message.guards, rosters.all())) {
+        return;
+    }
     for (const auto &kept : message.memory) {
         if (keys.size() >= settings_.keyLimit) {
             return;
--- a/src/guard/guard_memory.h
+++ b/src/guard/guard_memory.h
@@ -29,6 +29,12 @@
     /// True where the memory covers every key, so that other guards may rely on it.
     bool isFull(const Rosters &rosters, Time now) const;
 
+    /// Says whether hosts may run that use lists from before the first one of this start.
+    void setEarlierLists(EarlierLists earlier)
+    {
+        earlierLists_ = earlier;
+    }
+
     /// Asks other hosts for what they keep, as long as that is of use.
     void request(const Rosters &rosters, Time now, Outbox<GuardMessage> &outbox);
 
@@ -50,10 +56,12 @@
     };
 
     bool isOldEnough(Duration window, Time now) const;
+    bool isFullFor(const std::vector<HostId> &hosts) const;
 
     HostId self_;
     GuardSettings settings_;
     Time startedAt_;
+    EarlierLists earlierLists_ = EarlierLists::MayBeInUse;
     Time nextRequest_;
     std::uint64_t firstRequest_; ///< requests of this start are numbered from here on
     std::uint64_t lastRequest_;
--- a/src/guard/guard_message.h
+++ b/src/guard/guard_message.h
@@ -20,7 +20,7 @@
     MemoryRequest, ///< the sender started with an empty memory and asks for the keys that it guards too
     Memory, ///< keys that the sender keeps and the receiver guards too, in parts
     RosterRequest, ///< which list of hosts does the receiver use?
-    Roster, ///< answers RosterRequest by the field roster
+    Roster, ///< answers RosterRequest by the field roster, and names the lists that the sender knows unless it has forgotten some
 };
 
 /// The highest value that a message may carry.
@@ -53,7 +53,7 @@
     GuardKey key;
     Duration window{0}; ///< of Ask: how long the key is to be kept
     HostId holder; ///< of Denied: the host whose ask has the key
-    std::vector<GuardSet> guards; ///< of votes: the sets of guards of the key by the lists that the sender knows; of Memory: these lists
+    std::vector<GuardSet> guards; ///< of votes: the sets of guards of the key by the lists known; of Memory and Roster: these lists
     std::uint64_t roster = 0; ///< hash of the list of hosts that the sender uses
     std::vector<KeptKey> memory; ///< of Memory, at most kKeysPerMessage
     std::uint32_t part = 0; ///< of Memory: counted from 0
--- a/src/guard/key_guard.cpp
+++ b/src/guard/key_guard.cpp
@@ -134,6 +134,7 @@
     // As an asker.
     bool decideLocally(AskId id, const GuardKey &key, Time now, GuardDecisions &decisions) const;
     void addSet(AskId id, OpenAsk &ask, const GuardSet &set, Outbox<GuardMessage> &outbox);
+    bool addKnownSets(AskId id, OpenAsk &ask, Time now, Outbox<GuardMessage> &outbox);
     void sendAsk(AskId id, const OpenAsk &ask, HostId guard, Outbox<GuardMessage> &outbox);
     void receiveVote(HostId from, const GuardMessage &message, Time now, Outbox<GuardMessage> &outbox, GuardDecisions &decisions);
     void evaluate(AskId id, Time now, Outbox<GuardMessage> &outbox, GuardDecisions &decisions);
@@ -144,6 +145,7 @@
 
     // As a guard.
     void askForRosters(Outbox<GuardMessage> &outbox);
+    void noteRoster(HostId from, const GuardMessage &message, Time now);
     GuardMessage voteOn(HostId from, const GuardMessage &message, Time now);
     GuardMessageKind grantOrDeny(HostId from, const GuardMessage &message, const std::vector<GuardSet> &sets, Time now, HostId &holder);
 };
@@ -173,7 +175,7 @@
     if (message.memory.size() > kKeysPerMessage) {
         return;
     }
-    rosters.note(from, message.roster, now);
+    noteRoster(from, message, now);
     switch (message.kind) {
     case GuardMessageKind::Ask:
         send(from, voteOn(from, message, now), outbox);
@@ -199,6 +201,9 @@
     case GuardMessageKind::RosterRequest: {
         GuardMessage answer;
         answer.kind = GuardMessageKind::Roster;
+        if (memory.isFull(rosters, now)) {
+            answer.guards = rosters.all();
+        }
         send(from, std::move(answer), outbox);
         break;
     }
@@ -247,6 +252,18 @@
     }
 }
 
+// A list that came into force, or became known, after the ask began counts too:
+// the guards have seen it in this host's later messages and don't name it. True
+// where there was one.
+bool KeyGuard::Impl::addKnownSets(AskId id, OpenAsk &ask, Time now, Outbox<GuardMessage> &outbox)
+{
+    const auto before = ask.sets.size();
+    for (const auto &set : rosters.guardsOf(ask.key, now)) {
+        addSet(id, ask, set, outbox);
+    }
+    return ask.sets.size() > before;
+}
+
 void KeyGuard::Impl::receiveVote(HostId from, const GuardMessage &message, Time now, Outbox<GuardMessage> &outbox,
                                  GuardDecisions &decisions)
 {
@@ -287,8 +304,11 @@
 
 void KeyGuard::Impl::evaluate(AskId id, Time now, Outbox<GuardMessage> &outbox, GuardDecisions &decisions)
 {
-    const auto &ask = asks.at(id);
-    const auto tally = tallyOf(ask);
+    auto &ask = asks.at(id);
+    auto tally = tallyOf(ask);
+    if (tally == Tally::Won && addKnownSets(id, ask, now, outbox)) {
+        tally = tallyOf(ask);
+    }
     if (now >= ask.deadline || tally == Tally::Lost || ask.sets.size() > kSetsPerAsk) {
         lose(id, outbox, decisions);
     } else if (tally == Tally::Won) {
@@ -379,6 +399,20 @@
     return GuardMessageKind::Granted;
 }
 
+// Two hosts with different lists may each see the same host move on to theirs.
+// It tells the second one the list of the first, whose guards are then asked too.
+// A host that has forgotten its lists tells none and has not moved on.
+void KeyGuard::Impl::noteRoster(HostId from, const GuardMessage &message, Time now)
+{
+    const bool hasTold = message.kind == GuardMessageKind::Roster && !message.guards.empty();
+    if (hasTold) {
+        for (const auto &list : message.guards) {
+            rosters.addEarlier(list.hosts, now);
+        }
+    }
+    rosters.note(from, message.roster, hasTold, now);
+}
+
 // Asks a few of the hosts that may still use an earlier list, in turn.
 void KeyGuard::Impl::askForRosters(Outbox<GuardMessage> &outbox)
 {
@@ -399,8 +433,11 @@
 KeyGuard::KeyGuard(KeyGuard &&) noexcept = default;
 KeyGuard &KeyGuard::operator=(KeyGuard &&) noexcept = default;
 
-void KeyGuard::setListed(std::vector<HostId> hosts, Time now)
+void KeyGuard::setListed(std::vector<HostId> hosts, Time now, EarlierLists earlier)
 {
+    if (impl_->listed.empty()) {
+        impl_->memory.setEarlierLists(earlier);
+    }
     impl_->listed = std::move(hosts);
     impl_->rosters.setCurrent(impl_->listed, now);
 }
--- a/src/guard/key_guard.h
+++ b/src/guard/key_guard.h
@@ -51,6 +51,12 @@
     Duration listGiveUp = std::chrono::hours{1}; ///< a host that has left the list for this long is taken to be stopped
 };
 
+/// Whether other hosts may still use a list of hosts from before this host's first one.
+enum class EarlierLists : std::uint8_t {
+    MayBeInUse, ///< the list has changed, or nobody can tell
+    None, ///< the caller vouches that nobody does, as where the platform never published another list
+};
+
 /// Lets a protected request with an idempotency key run at most once in the whole fleet during the key's
 /// window. Each host is asker and guard. Pure: no I/O, no clock. Not thread-safe.
 class KeyGuard
@@ -63,7 +69,9 @@
     KeyGuard &operator=(KeyGuard &&) noexcept;
 
     /// Takes the list of hosts that the platform publishes (not the live view). An empty list is ignored.
-    void setListed(std::vector<HostId> hosts, Time now);
+    /// What is said of earlier lists counts with the first list: where they may be in use, a guard with an empty
+    /// memory trusts what other guards tell it, and time alone only after listGiveUp more.
+    void setListed(std::vector<HostId> hosts, Time now, EarlierLists earlier = EarlierLists::None);
 
     /// Asks whether a request may run. The verdict comes in the decisions, now or later, at the deadline at the latest.
     AskId ask(const GuardKey &key, Duration window, Time deadline, Time now, Outbox<GuardMessage> &outbox, GuardDecisions &decisions);
--- a/src/guard/rosters.cpp
+++ b/src/guard/rosters.cpp
@@ -63,7 +63,7 @@
     }
     current_ = std::move(hosts);
     hash_ = hash;
-    note(self_, hash_, now);
+    note(self_, hash_, true, now);
     return true;
 }
 
@@ -88,12 +88,12 @@
 
 // A host that uses a list has moved on from all that came before it. One that
 // uses a list unknown here proves nothing.
-void Rosters::note(HostId host, std::uint64_t roster, Time now)
+void Rosters::note(HostId host, std::uint64_t roster, bool hasTold, Time now)
 {
     bool isLater = roster == hash_;
     for (auto earlier = earlier_.rbegin(); earlier != earlier_.rend(); ++earlier) {
         const bool isThis = earlier->hash == roster;
-        if (isLater && contains(earlier->hosts, host)) {
+        if (isLater && hasTold && contains(earlier->hosts, host)) {
             earlier->movedAt.try_emplace(host, now);
         } else if (isThis) {
             earlier->movedAt.erase(host);
@@ -163,6 +163,16 @@
     return lists;
 }
 
+std::vector<HostId> Rosters::hosts() const
+{
+    auto hosts = current_;
+    for (const auto &earlier : earlier_) {
+        hosts.insert(hosts.end(), earlier.hosts.begin(), earlier.hosts.end());
+    }
+    sortOnce(hosts);
+    return hosts;
+}
+
 std::vector<HostId> Rosters::unmoved() const
 {
     std::vector<HostId> hosts;
--- a/src/guard/rosters.h
+++ b/src/guard/rosters.h
@@ -30,8 +30,8 @@
     /// Notes a list that another host knows and this one may not.
     void addEarlier(std::vector<HostId> hosts, Time now);
 
-    /// Notes which list a host uses.
-    void note(HostId host, std::uint64_t roster, Time now);
+    /// Notes which list a host uses. It has moved on to it only where it has told the lists that it knows.
+    void note(HostId host, std::uint64_t roster, bool hasTold, Time now);
 
     /// Forgets earlier lists that no majority of a key's guards can use any more.
     void prune(Time now);
@@ -42,6 +42,9 @@
     /// All lists that matter, the current one first.
     std::vector<GuardSet> all() const;
 
+    /// The hosts of all lists that matter, each once.
+    std::vector<HostId> hosts() const;
+
     /// Hosts of earlier lists that have not been seen to move on, each once.
     std::vector<HostId> unmoved() const;
 
--- a/tests/harness/guard_fleet.h
+++ b/tests/harness/guard_fleet.h
@@ -27,6 +27,12 @@
     std::optional<Time> ran; ///< when the upstream got the request
 };
 
+/// How the platform's list changes.
+enum class ListChanges : std::uint8_t {
+    InTurn, ///< one change follows another only once every host that is up has learned it
+    Overtaking, ///< at any time: hosts may miss lists that others use
+};
+
 /// Key guards of several hosts on one seeded network, each with its own clock. Hosts crash, restart with an
 /// empty memory, pause and wake late; granted requests are sent a little later, as a proxy would.
 class GuardFleet
@@ -165,12 +171,16 @@
         }
     }
 
-    /// Adds the host to the platform's list, or removes it; hosts learn of it by learnList. One change
-    /// follows another only once every host that is up has learned it.
+    void setListChanges(ListChanges changes)
+    {
+        listChanges_ = changes;
+    }
+
+    /// Adds the host to the platform's list, or removes it; hosts learn of it by learnList.
     void changeList(std::size_t host)
     {
         for (const auto &state : hosts_) {
-            if (state.guard && state.listVersion != listVersion_) {
+            if (listChanges_ == ListChanges::InTurn && state.guard && state.listVersion != listVersion_) {
                 return;
             }
         }
@@ -282,7 +292,8 @@
         state.clockRate = 0.996 + 0.008 * random_.unit();
         state.guard = std::make_unique<KeyGuard>(idOf(host), settings_, random_(), state.clockStart);
         state.listVersion = listVersion_;
-        state.guard->setListed(listed_, state.clockStart);
+        const auto earlier = listVersion_ == 0 ? EarlierLists::None : EarlierLists::MayBeInUse;
+        state.guard->setListed(listed_, state.clockStart, earlier);
     }
 
     Time nextEvent() const
@@ -391,6 +402,7 @@
     Time now_{std::chrono::seconds{1}};
     std::vector<HostId> listed_;
     std::uint64_t listVersion_ = 0;
+    ListChanges listChanges_ = ListChanges::InTurn;
     std::vector<Host> hosts_;
     std::vector<GuardInvocation> history_;
 };
