tests: a host cut off from its peers, on real daemons

Cause: cuts between hosts were only tested on the cores in one process; the users ask for them on real daemons. Change: a forwarder of the tests stands between the peers' ports (peers.advertise) for control connections and relayed datagrams and cuts by the sender and receiver that the envelopes name; a story of one host cut off from four.

--- a/tests/daemon/five_hosts_test.cpp
+++ b/tests/daemon/five_hosts_test.cpp
@@ -260,4 +260,27 @@
         CHECK(askHttp(fleet.requests(4), "/a", "POST", "body", "frozen-a").status != 200);
         CHECK(fleet.doubles().empty());
     }
+
+    SUBCASE("serve on both sides of a cut, and no key runs on both")
+    {
+        REQUIRE(fleet.waitGuardsReady());
+        fleet.isolate(5);
+        CHECK(waitUntil([&] { return fleet.viewSize(1) == kFleetHosts - 1 && fleet.viewSize(5) == 1; }, seconds{30}));
+
+        // The side with most guards runs keys; the other refuses them unrun, and serves what needs no guard.
+        CHECK(askHttp(fleet.requests(1), "/cut", "POST", "body", "cut-key").status == 200);
+        const auto refused = askHttp(fleet.requests(5), "/cut", "POST", "body", "cut-key");
+        CHECK(refused.status == 503);
+        CHECK(refused.outcome == "not-run");
+        CHECK(askHttp(fleet.requests(5), "/plain").status == 200);
+        fleet.publish(1, "drawings");
+        CHECK(waitUntil([&] { return fleet.serves(2, "drawings"); }, seconds{2}));
+        CHECK_FALSE(fleet.serves(5, "drawings"));
+
+        fleet.heal(5);
+        REQUIRE(fleet.waitTogether());
+        CHECK(waitUntil([&] { return fleet.serves(5, "drawings"); }, seconds{5}));
+        CHECK(askHttp(fleet.requests(5), "/cut", "POST", "body", "cut-key").status != 200);
+        CHECK(fleet.doubles().empty());
+    }
 }
--- a/tests/daemon/fleet.cpp
+++ b/tests/daemon/fleet.cpp
@@ -21,6 +21,7 @@
 using asio::ip::udp;
 
 constexpr std::string_view kKey = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\n";
+constexpr std::uint16_t kListenPort = 9701;
 constexpr int kDatagramTries = 3;
 constexpr int kDatagramWaitMilliseconds = 1000;
 
@@ -45,6 +46,12 @@
     return fmt::format("zone{}", host % 3);
 }
 
+// Where the peers know a host; the forwarder listens there.
+Endpoint peersAddress(int host)
+{
+    return parseEndpoint(loopbackAddress(host) + ":9700").value();
+}
+
 std::string listText()
 {
     std::string text = "hosts:\n";
@@ -64,6 +71,7 @@
 {
     replaceFile(folder_ + "/key", std::string(kKey));
     for (int host = 1; host <= kFleetHosts; ++host) {
+        forwarder_.forward(peersAddress(host), Endpoint{peersAddress(host).address, kListenPort});
         publish(host, options_.extraService);
     }
     for (int host = 1; host <= kFleetHosts; ++host) {
@@ -95,7 +103,7 @@
     const auto address = loopbackAddress(host);
     const auto settings = fmt::format("host: {{address: {0}, zone: {1}}}\n"
                                       "operator: {{listen: \"{0}:9900\"}}\n"
-                                      "peers: {{listen: \"{0}:9700\", key-file: {2}/key}}\n"
+                                      "peers: {{listen: \"{0}:9701\", advertise: \"{0}:9700\", key-file: {2}/key}}\n"
                                       "platform: {{catalogue-file: {2}/catalogue{3}.yaml}}\n"
                                       "guard: {{window: 4s}}\n"
                                       "graces: {{requests: 10s, feeds: 2s}}\n{4}",
@@ -157,6 +165,16 @@
     return loopbackAddress(host) + ":8600";
 }
 
+void Fleet::isolate(int host)
+{
+    forwarder_.isolate(hostIdOf(peersAddress(host)));
+}
+
+void Fleet::heal(int host)
+{
+    forwarder_.heal(hostIdOf(peersAddress(host)));
+}
+
 std::vector<int> Fleet::running() const
 {
     std::vector<int> hosts;
--- a/tests/daemon/fleet.h
+++ b/tests/daemon/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/daemon_process.h"
+#include "daemon/peer_forwarder.h"
 #include "standin/upstream.h"
 
 #include <boost/asio/io_context.hpp>
@@ -55,6 +56,10 @@
         processes_.erase(host);
     }
 
+    /// Cuts a host's control port off from the others, both ways, or joins it again.
+    void isolate(int host);
+    void heal(int host);
+
     /// The hosts that have a process.
     std::vector<int> running() const;
 
@@ -97,6 +102,7 @@
 
     FleetOptions options_;
     std::string folder_;
+    PeerForwarder forwarder_;
     Upstreams upstreams_;
     Upstreams extraUpstreams_;
     std::map<int, std::unique_ptr<DaemonProcess>> processes_;
