guard, daemon: a started host reckons with earlier lists of hosts that are still in use

Cause: the guard's rule for lists that overtake each other was not wired: a host restarted alone with a much smaller list trusted itself after one window, while others still ran with the list before it (shown by guard_lists in the cores). Change: every host with peers starts with EarlierLists::MayBeInUse; guard.list-give-up (1 h) is the time that a running host may use an old list, a host alone has none. Price: after a start of all hosts at once, keyed requests are refused not-run for 1 h 10 min by default instead of 10 min; safety goes first, and hosts replaced one after the other are not concerned (story in tests/fleet).

--- a/src/cluster/host_core.cpp
+++ b/src/cluster/host_core.cpp
@@ -45,6 +45,7 @@
     : membership_(membershipOptions(options))
     , catalogue_(catalogueOptions(options))
     , guard_(options.self, options.guard, options.seed, now)
+    , earlierLists_(options.earlierLists)
 {
 }
 
@@ -56,7 +57,7 @@
         ids.push_back(hostIdOf(host.address));
     }
     membership_.setListed(hosts, now);
-    guard_.setListed(std::move(ids), now);
+    guard_.setListed(std::move(ids), now, earlierLists_);
     settle(now, actions);
 }
 
--- a/src/cluster/host_core.h
+++ b/src/cluster/host_core.h
@@ -21,6 +21,7 @@
     std::uint64_t incarnation = 1; ///< at the start; higher after each restart
     std::uint64_t seed = 1; ///< must differ between two starts of any hosts
     GuardSettings guard;
+    EarlierLists earlierLists = EarlierLists::MayBeInUse; ///< whether other hosts may use a list of hosts from before the start
     std::uint32_t readersPerZone = 2; ///< hosts of a zone that read one shard from the platform
     Duration startWait = std::chrono::seconds{3}; ///< the longest a host that starts waits for its peers' catalogue
 };
@@ -111,6 +112,7 @@
     Membership membership_;
     CatalogueSync catalogue_;
     KeyGuard guard_;
+    EarlierLists earlierLists_;
     std::uint64_t viewNumber_ = 0;
     std::shared_ptr<const Catalogue> inForce_;
     std::vector<std::string> shardsToRead_;
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -37,7 +37,9 @@
     options.seed = combineHash(options.self.value, boot);
     options.guard.longestWindow = settings.guard.window;
     options.guard.silence = settings.guard.window;
+    options.guard.listGiveUp = settings.guard.listGiveUp;
     if (!settings.peers) {
+        options.earlierLists = EarlierLists::None;
         options.startWait = Duration{0};
     }
     return options;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -45,6 +45,7 @@
 /// How the key guard keeps idempotency keys.
 struct GuardOptions {
     Duration window = std::chrono::minutes{10}; ///< longest time that a key is kept; the same on every host
+    Duration listGiveUp = std::chrono::hours{1}; ///< longest time that a running host may use an old list of hosts
 
     friend bool operator==(const GuardOptions &, const GuardOptions &) = default;
 };
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -24,6 +24,7 @@
 constexpr Range<std::uint32_t> kHeadBytes{1024, 1U << 20U};
 constexpr Range<std::uint32_t> kFlows{1, 100'000'000};
 constexpr Range<Duration> kHeadTimeout{milliseconds{100}, std::chrono::minutes{10}};
+constexpr Range<Duration> kListGiveUp{milliseconds{0}, hours{24}};
 constexpr Range<Duration> kGuardWindow{std::chrono::seconds{1}, hours{24}};
 constexpr Range<Duration> kGrace{milliseconds{0}, hours{48}};
 
@@ -127,7 +128,7 @@
 {
     MapReader reader(sectionOf(top, "guard"), "guard", faults);
     GuardOptions guard;
-    reader.duration("window", guard.window, kGuardWindow).refuseUnknown();
+    reader.duration("window", guard.window, kGuardWindow).duration("list-give-up", guard.listGiveUp, kListGiveUp).refuseUnknown();
     builder.guard(guard);
 }
 
--- a/tests/cluster/host_core_test.cpp
+++ b/tests/cluster/host_core_test.cpp
@@ -53,6 +53,7 @@
         options.seed = incarnation;
         options.guard.longestWindow = kWindow;
         options.guard.silence = kWindow;
+        options.guard.listGiveUp = Duration{0};
         cores_[options.self] = std::make_unique<HostCore>(options, now);
         act(options.self, [&](HostCore &host, HostActions &actions) { host.setListed(listed_, now, actions); });
     }
