steering, platform, entry: the users' platform served by one thin path

Cause: nothing of the product could take packets on the users' platform; it spoke HTTP, streams and its own datagram relay only. Ruled out: owners and relays for packets (src/flows): the echo field brings a token back with each packet, so any host forwards a flow that it has never seen, without a message or state that must survive. The HTTP page server leaves the daemon and is used by both. Logs of an entry host go to standard output.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -30,6 +30,7 @@
 
 struct LogState {
     std::mutex mutex;
+    std::FILE *stream = stderr;
     std::array<EventRate, kEvents.size()> rates{};
 };
 
@@ -107,6 +108,13 @@
     lowestLevel().store(level, std::memory_order_relaxed);
 }
 
+void setLogStream(std::FILE *stream)
+{
+    auto &state = logState();
+    const std::lock_guard lock(state.mutex);
+    state.stream = stream;
+}
+
 std::string formatLogLine(const EventInfo &info, std::span<const LogField> fields)
 {
     std::string line = fmt::format("{} {} {} {}", levelName(info.level), static_cast<int>(info.event), info.name, quoted(info.summary));
@@ -144,11 +152,9 @@
     const auto line = formatLogLine(info, std::span(fields.begin(), fields.size()));
     const auto milliseconds = now.time_since_epoch().count() % 1000;
     const auto stamp = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(static_cast<std::time_t>(second)), milliseconds);
-    if (suppressed > 0) {
-        fmt::print(stderr, "{} {} suppressed={}\n", stamp, line, suppressed);
-    } else {
-        fmt::print(stderr, "{} {}\n", stamp, line);
-    }
+    const auto text = suppressed > 0 ? fmt::format("{} {} suppressed={}\n", stamp, line, suppressed) : fmt::format("{} {}\n", stamp, line);
+    std::fwrite(text.data(), 1, text.size(), state.stream);
+    std::fflush(state.stream);
 }
 
 } // namespace medlarway
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <cstdio>
 #include <fmt/format.h>
 #include <initializer_list>
 #include <optional>
@@ -59,7 +60,10 @@
 /// Sets the lowest level that is written. Any thread may call it.
 void setLogLevel(LogLevel level);
 
-/// Writes one line to standard error: time, level, number, name, summary, fields. At most
+/// Sends the lines to another stream than standard error. To be called before other threads log.
+void setLogStream(std::FILE *stream);
+
+/// Writes one line to standard error, or where setLogStream says: time, level, number, name, summary, fields. At most
 /// kLogBurst lines a second of one event are written; the next line says how many were left out.
 void logEvent(Event event, std::initializer_list<LogField> fields = {});
 
--- a/src/ctl/explain_command.cpp
+++ b/src/ctl/explain_command.cpp
@@ -1,7 +1,7 @@
 #include "ctl/arguments.h"
 #include "ctl/command.h"
 #include "ctl/operator_client.h"
-#include "daemon/query.h"
+#include "pages/query.h"
 
 #include <fmt/format.h>
 
--- a/src/ctl/version_command.cpp
+++ b/src/ctl/version_command.cpp
@@ -1,6 +1,6 @@
 #include "ctl/arguments.h"
 #include "ctl/command.h"
-#include "daemon/version.h"
+#include "base/version.h"
 
 #include <fmt/format.h>
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,7 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "base/errors.h"
-#include "daemon/version.h"
+#include "base/version.h"
 #include "platform/file_source.h"
 #include "settings/settings_file.h"
 #include "yaml/fault.h"
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
-#include "daemon/version.h"
+#include "base/version.h"
+#include "entry/entry_host.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -25,5 +26,5 @@
     }
     // A peer that closes its connection is an error of the write, not of the process.
     std::signal(SIGPIPE, SIG_IGN);
-    return static_cast<int>(medlarway::runDaemon(settings));
+    return medlarway::isEntryFile(settings) ? medlarway::runEntryHost(settings) : static_cast<int>(medlarway::runDaemon(settings));
 }
--- a/src/daemon/operator_pages.cpp
+++ b/src/daemon/operator_pages.cpp
@@ -1,7 +1,7 @@
 #include "daemon/operator_pages.h"
 
 #include "base/counters.h"
-#include "daemon/query.h"
+#include "pages/query.h"
 
 #include <array>
 
--- a/src/daemon/operator_server.cpp
+++ b/src/daemon/operator_server.cpp
@@ -1,17 +1,5 @@
 #include "daemon/operator_server.h"
 
-#include "base/errors.h"
-#include "daemon/version.h"
-
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <exception>
-#include <fmt/format.h>
 #include <utility>
 
 namespace medlarway
@@ -20,79 +8,14 @@
 namespace
 {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-using asio::ip::tcp;
-using ErrorCode = boost::system::error_code;
-
 constexpr std::size_t kRingCapacity = 64;
-constexpr int kMostConnections = 64;
-constexpr std::uint32_t kLongestHeadBytes = 8192;
-constexpr std::chrono::seconds kConnectionTimeout{10};
-constexpr std::chrono::milliseconds kAcceptPause{100};
-constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
-
-// A page that fails is an answer too; the connection and the thread go on.
-OperatorAnswer askPages(const OperatorPages &pages, const std::string &target)
-{
-    try {
-        return pages(target);
-    } catch (const std::exception &exception) {
-        reportError(ErrorKind::Internal, exception.what());
-        return {500, "text/plain; charset=utf-8", "internal fault\n"};
-    }
-}
-
-http::response<http::string_body> responseTo(const http::request<http::empty_body> &request, const OperatorPages &pages)
-{
-    http::response<http::string_body> response;
-    response.version(request.version());
-    response.keep_alive(request.keep_alive());
-    response.set(http::field::server, std::string(kVersion));
-    if (request.method() != http::verb::get && request.method() != http::verb::head) {
-        response.result(http::status::method_not_allowed);
-        response.set(http::field::allow, "GET, HEAD");
-        response.keep_alive(false);
-        response.body() = "the operator interface only reads\n";
-    } else {
-        const auto target = request.target();
-        auto answer = askPages(pages, std::string(target.data(), target.size()));
-        response.result(answer.status);
-        response.set(http::field::content_type, answer.contentType);
-        response.set(http::field::cache_control, "no-store");
-        response.body() = std::move(answer.body);
-    }
-    response.prepare_payload();
-    if (request.method() == http::verb::head) {
-        response.body().clear();
-    }
-    return response;
-}
 
 } // namespace
 
-// The address is taken without SO_REUSEPORT, so that a second daemon with the same settings fails here.
 OperatorServer::OperatorServer(const Endpoint &listen, OperatorPages pages)
-    : pages_(std::move(pages))
-    , thread_("operator", kRingCapacity)
-    , acceptor_(thread_.context())
+    : thread_("operator", kRingCapacity)
+    , server_(thread_.context(), listen, std::move(pages))
 {
-    const tcp::endpoint endpoint(asio::ip::address_v4(listen.address), listen.port);
-    ErrorCode error;
-    acceptor_.open(endpoint.protocol(), error);
-    if (!error) {
-        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor_.bind(endpoint, error);
-    }
-    if (!error) {
-        acceptor_.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        throw Error(ErrorKind::AddressTaken, fmt::format("operator interface at {}: {}", endpointToString(listen), error.message()));
-    }
 }
 
 OperatorServer::~OperatorServer()
@@ -102,7 +25,7 @@
 
 void OperatorServer::start()
 {
-    asio::co_spawn(thread_.context(), acceptAll(), asio::detached);
+    server_.start();
     thread_.start();
 }
 
@@ -111,46 +34,4 @@
     thread_.stop();
 }
 
-asio::awaitable<void> OperatorServer::acceptAll()
-{
-    asio::steady_timer pause(thread_.context());
-    for (;;) {
-        auto [error, socket] = co_await acceptor_.async_accept(kWaitForCompletion);
-        if (error == asio::error::operation_aborted) {
-            co_return;
-        }
-        // Out of descriptors, for one: a pause keeps the thread from spinning.
-        if (error) {
-            pause.expires_after(kAcceptPause);
-            co_await pause.async_wait(kWaitForCompletion);
-            continue;
-        }
-        if (connections_ < kMostConnections) {
-            ++connections_;
-            asio::co_spawn(thread_.context(), serve(std::move(socket)), asio::detached);
-        }
-    }
-}
-
-asio::awaitable<void> OperatorServer::serve(tcp::socket socket)
-{
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
-    bool open = true;
-    while (open) {
-        stream.expires_after(kConnectionTimeout);
-        http::request_parser<http::empty_body> parser;
-        parser.header_limit(kLongestHeadBytes);
-        const auto [readError, read] = co_await http::async_read(stream, buffer, parser, kWaitForCompletion);
-        if (readError) {
-            break;
-        }
-        auto response = responseTo(parser.get(), pages_);
-        stream.expires_after(kConnectionTimeout);
-        const auto [writeError, written] = co_await http::async_write(stream, response, kWaitForCompletion);
-        open = !writeError && response.keep_alive();
-    }
-    --connections_;
-}
-
 } // namespace medlarway
--- /dev/null
+++ b/src/entry/entry_host.cpp
@@ -0,0 +1,281 @@
+#include "entry/entry_host.h"
+
+#include "base/errors.h"
+#include "base/version.h"
+#include "entry/entry_pages.h"
+#include "yaml/fault.h"
+
+#include <algorithm>
+#include <csignal>
+#include <exception>
+#include <fmt/format.h>
+#include <utility>
+
+namespace medlarway
+{
+
+namespace
+{
+
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusNotFound = 404;
+constexpr unsigned kStatusUnavailable = 503;
+
+// The routers ask twice a second and pass over a host after two misses: what they send after that is in flight.
+constexpr std::chrono::milliseconds kRoutersNotice{1600};
+
+// A stopping host to which nothing was sent for so long has been passed over by every router.
+constexpr std::chrono::milliseconds kQuietBeforeEnd{400};
+
+// What a stop leaves of its grace, for a process that gets little processor time.
+constexpr std::chrono::milliseconds kGraceMargin{1000};
+
+// How long after the platform's last word a host may still say for certain that a route does not exist. Below
+// the time in which a change must be in force.
+constexpr std::chrono::milliseconds kCertainty{2900};
+
+Time monotonicNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+SteeringOptions steeringOptions(const EntrySettings &settings)
+{
+    SteeringOptions options;
+    options.zone = settings.zone;
+    options.seed = combineHash(settings.packets.address, settings.packets.port);
+    options.flowLimit = settings.flows;
+    return options;
+}
+
+StoreFeedOptions feedOptions(const EntrySettings &settings)
+{
+    StoreFeedOptions options;
+    options.address = settings.store;
+    options.seed = combineHash(settings.packets.address, settings.store.address);
+    return options;
+}
+
+} // namespace
+
+EntryHost::EntryHost(std::string settingsFile, const EntrySettings &settings)
+    : settingsFile_(std::move(settingsFile))
+    , settings_(settings)
+    , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+    , ticker_(context_)
+    , steering_(steeringOptions(settings))
+    , packets_(context_, settings.packets, [this](auto datagrams, auto &outgoing) { onBatch(datagrams, outgoing); })
+    , feed_(context_, feedOptions(settings), feedSink())
+    , readyServer_(context_, settings.ready, [this](const std::string &target) { return answerReady(target); })
+    , controlServer_(context_, settings.control, [this](const std::string &target) { return answerControl(target); })
+{
+}
+
+void EntryHost::run()
+{
+    feed_.start();
+    packets_.start();
+    readyServer_.start();
+    controlServer_.start();
+    awaitSignal();
+    onTick();
+    logEvent(Event::Started,
+             {field("version", kVersion), field("host", settings_.name), field("zone", settings_.zone.name),
+              field("packets", endpointToString(settings_.packets)), field("store", endpointToString(settings_.store))});
+    context_.run();
+    logEvent(Event::Stopped, {field("packets", packets_.counts().received), field("flows", steering_.flowCount())});
+}
+
+// Everything that a batch sends points into the socket's buffers and into resets_, which has room for one for each
+// datagram so that it does not move.
+void EntryHost::onBatch(std::span<std::span<std::uint8_t>> datagrams, std::vector<OutgoingPacket> &outgoing)
+{
+    const auto now = monotonicNow();
+    lastPacket_ = now;
+    updateCertainty();
+    resets_.clear();
+    resets_.reserve(datagrams.size());
+    for (const auto datagram : datagrams) {
+        onDatagram(datagram, outgoing, now);
+    }
+    logNews();
+}
+
+void EntryHost::onDatagram(std::span<std::uint8_t> datagram, std::vector<OutgoingPacket> &outgoing, Time now)
+{
+    const auto packet = decodePacket(datagram);
+    if (!packet) {
+        reportError(ErrorKind::DatagramTooLarge, fmt::format("not a client's packet, {} bytes", datagram.size()));
+        return;
+    }
+    const auto step = steering_.onPacket(*packet, now);
+    if (step.action == SteeringAction::Forward) {
+        const auto &upstream = steering_.directory().at(step.upstream);
+        writeToken(datagram, upstream.token);
+        outgoing.push_back({upstream.entry.address, recipientPrefix(upstream.entry), kRecipientBytes, datagram});
+    } else if (step.action == SteeringAction::Reset) {
+        resets_.push_back(resetFor(*packet));
+        // Clients listen at the port number that this host has its own packets at.
+        outgoing.push_back({Endpoint{packet->flow.client.address, settings_.packets.port}, {}, 0, resets_.back()});
+    }
+}
+
+void EntryHost::onTick()
+{
+    const auto now = monotonicNow();
+    updateCertainty();
+    steering_.tick(now);
+    logNews();
+    if (stopping_ && mayEnd(now)) {
+        context_.stop();
+        return;
+    }
+    ticker_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(kSteeringTick));
+    ticker_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            onTick();
+        }
+    });
+}
+
+void EntryHost::updateCertainty()
+{
+    steering_.setCertainUntil(upstreamsRead_ ? std::min(feed_.configHeardAt(), feed_.upstreamsHeardAt()) + kCertainty : Time{});
+}
+
+void EntryHost::logNews()
+{
+    for (const auto &news : steering_.takeNews()) {
+        const auto &upstream = steering_.directory().at(news.upstream);
+        logEvent(news.suspected ? Event::UpstreamEjected : Event::UpstreamReadmitted,
+                 {field("upstream", upstream.entry.id), field("zone", upstream.entry.zone.name), field("flows", upstream.flows),
+                  field("running", upstream.running), field("stalled", upstream.life.stalledFlows),
+                  field("entry-revision", upstream.entry.revision)});
+    }
+}
+
+StoreFeedSink EntryHost::feedSink()
+{
+    StoreFeedSink sink;
+    sink.config = [this](const RouteConfig &config) { takeConfig(config); };
+    sink.upstream = [this](const UpstreamEntry &entry) { steering_.directory().apply(entry, monotonicNow()); };
+    sink.gone = [this](const std::string &id, std::uint64_t revision) { takeGone(id, revision); };
+    sink.whole = [this](const std::vector<std::string> &ids, std::uint64_t revision) {
+        const auto removed = steering_.directory().removeAllBut(ids, revision, monotonicNow());
+        upstreamsRead_ = true;
+        logEvent(Event::CatalogueAccepted, {field("upstreams", ids.size()), field("removed", removed), field("revision", revision)});
+    };
+    return sink;
+}
+
+void EntryHost::takeConfig(const RouteConfig &config)
+{
+    const auto before = steering_.routes().version();
+    if (steering_.routes().apply(config)) {
+        logEvent(Event::CatalogueAccepted, {field("version", config.version), field("before", before), field("routes", config.routes.size())});
+    } else if (config.version < before) {
+        logEvent(Event::CatalogueStale, {field("version", config.version), field("in-force", before)});
+    }
+}
+
+void EntryHost::takeGone(const std::string &id, std::uint64_t revision)
+{
+    if (steering_.directory().remove(id, revision, monotonicNow())) {
+        logEvent(Event::UpstreamGone, {field("upstream", id), field("revision", revision)});
+    }
+}
+
+bool EntryHost::ready() const
+{
+    return !stopping_ && upstreamsRead_ && feed_.configHeardAt() != Time{};
+}
+
+OperatorAnswer EntryHost::answerReady(const std::string &target) const
+{
+    if (target != "/v1/ready") {
+        return {kStatusNotFound, "application/json", "{}"};
+    }
+    return ready() ? OperatorAnswer{kStatusOk, "application/json", R"({"ready":true})"}
+                   : OperatorAnswer{kStatusUnavailable, "application/json", R"({"ready":false})"};
+}
+
+OperatorAnswer EntryHost::answerControl(const std::string &target) const
+{
+    if (target == "/metrics") {
+        return {kStatusOk, "text/plain; version=0.0.4; charset=utf-8", entryMetrics(steering_, packets_.counts())};
+    }
+    if (target == "/state") {
+        return {kStatusOk, "application/json", entryState(steering_, monotonicNow())};
+    }
+    return {kStatusNotFound, "text/plain; charset=utf-8", "there are /metrics and /state\n"};
+}
+
+void EntryHost::awaitSignal()
+{
+    signals_.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (!error) {
+            onSignal(signal);
+            awaitSignal();
+        }
+    });
+}
+
+void EntryHost::onSignal(int signal)
+{
+    if (signal == SIGHUP) {
+        reloadSettings();
+    } else {
+        beginStop(signal);
+    }
+}
+
+void EntryHost::reloadSettings()
+{
+    try {
+        const auto wanted = loadEntrySettings(settingsFile_);
+        const auto restart = changesThatNeedRestart(settings_, wanted);
+        settings_.logLevel = wanted.logLevel;
+        settings_.grace = wanted.grace;
+        settings_.seeds = wanted.seeds;
+        setLogLevel(settings_.logLevel);
+        logEvent(Event::SettingsReloaded, {field("needs-restart", restart.empty() ? "nothing" : fmt::format("{}", fmt::join(restart, ",")))});
+    } catch (const Error &error) {
+        reportError(error.kind(), faultsOnOneLine(error.what()));
+    }
+}
+
+// Readiness ends first; packets are forwarded until the routers have moved on.
+void EntryHost::beginStop(int signal)
+{
+    if (std::exchange(stopping_, true)) {
+        return;
+    }
+    stopAsked_ = monotonicNow();
+    logEvent(Event::StopRequested, {field("signal", signal), field("flows", steering_.flowCount())});
+}
+
+bool EntryHost::mayEnd(Time now) const
+{
+    const auto since = now - stopAsked_;
+    return since >= settings_.grace - kGraceMargin || (since >= kRoutersNotice && now - lastPacket_ >= kQuietBeforeEnd);
+}
+
+int runEntryHost(const std::string &settingsFile)
+{
+    setLogStream(stdout);
+    try {
+        const auto settings = loadEntrySettings(settingsFile);
+        setLogLevel(settings.logLevel);
+        EntryHost host(settingsFile, settings);
+        host.run();
+        return 0;
+    } catch (const Error &error) {
+        reportError(error.kind(), faultsOnOneLine(error.what()));
+        return error.kind() == ErrorKind::BadSettings ? 2 : 1;
+    } catch (const std::exception &exception) {
+        logEvent(Event::FatalError, {field("detail", exception.what())});
+        return 1;
+    }
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/entry/entry_pages.cpp
@@ -0,0 +1,88 @@
+#include "entry/entry_pages.h"
+
+#include "base/counters.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace medlarway
+{
+
+namespace
+{
+
+std::string_view presenceName(Presence presence)
+{
+    switch (presence) {
+    case Presence::Listed:
+        return "listed";
+    case Presence::Gone:
+        return "gone";
+    case Presence::Replaced:
+        return "replaced";
+    }
+    return "unknown";
+}
+
+double secondsSince(Time then, Time now)
+{
+    return std::chrono::duration<double>(now - then).count();
+}
+
+nlohmann::json upstreamState(const KnownUpstream &upstream, Time now)
+{
+    return {{"id", upstream.entry.id},
+            {"service", upstream.entry.service},
+            {"address", endpointToString(upstream.entry.address)},
+            {"zone", upstream.entry.zone.name},
+            {"presence", presenceName(upstream.presence)},
+            {"draining", upstream.entry.draining},
+            {"revision", upstream.entry.revision},
+            {"token", upstream.token},
+            {"flows", upstream.flows},
+            {"running", upstream.running},
+            {"expected", upstream.expected},
+            {"suspected", upstream.life.suspectedAt.has_value()},
+            {"stalledFlows", upstream.life.stalledFlows},
+            {"secondsSinceProgress", secondsSince(upstream.life.lastProgress, now)}};
+}
+
+} // namespace
+
+std::string entryMetrics(const FlowSteering &steering, const PacketSocketCounts &counts)
+{
+    std::string text = countersAsText();
+    text += "# HELP medlarway_packets_total clients' packets by what was decided\n# TYPE medlarway_packets_total counter\n";
+    for (std::size_t row = 0; row < steering.counts().size(); ++row) {
+        text += fmt::format("medlarway_packets_total{{reason=\"{}\"}} {}\n", reasonName(static_cast<SteeringReason>(row)),
+                            steering.counts().at(row));
+    }
+    text += fmt::format("# HELP medlarway_flows flows remembered\n# TYPE medlarway_flows gauge\nmedlarway_flows {}\n", steering.flowCount());
+    text += fmt::format("# HELP medlarway_packets_received_total datagrams received\n# TYPE medlarway_packets_received_total counter\n"
+                        "medlarway_packets_received_total {}\n",
+                        counts.received);
+    text += fmt::format("# HELP medlarway_packets_sent_total datagrams sent\n# TYPE medlarway_packets_sent_total counter\n"
+                        "medlarway_packets_sent_total {}\n",
+                        counts.sent);
+    text += fmt::format("# HELP medlarway_packets_unsent_total datagrams that the kernel refused\n"
+                        "# TYPE medlarway_packets_unsent_total counter\nmedlarway_packets_unsent_total {}\n",
+                        counts.sendFailures);
+    return text;
+}
+
+std::string entryState(const FlowSteering &steering, Time now)
+{
+    auto upstreams = nlohmann::json::array();
+    for (const auto &upstream : steering.directory().all()) {
+        if (!upstream.entry.id.empty()) {
+            upstreams.push_back(upstreamState(upstream, now));
+        }
+    }
+    const nlohmann::json state{{"configVersion", steering.routes().version()},
+                               {"routes", steering.routes().config().routes.size()},
+                               {"flows", steering.flowCount()},
+                               {"upstreams", std::move(upstreams)}};
+    return state.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/entry/packet_socket.cpp
@@ -0,0 +1,147 @@
+#include "entry/packet_socket.h"
+
+#include "base/errors.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <fmt/format.h>
+#include <utility>
+
+namespace medlarway
+{
+
+namespace
+{
+
+using boost::asio::ip::udp;
+using ErrorCode = boost::system::error_code;
+
+// Batches that are read before other work of the thread gets its turn.
+constexpr int kMostBatches = 8;
+
+// Room for what arrives while the processor's share is used up.
+constexpr int kReceiveBufferBytes = 1 << 20;
+
+sockaddr_in toSocketAddress(const Endpoint &endpoint)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    address.sin_addr.s_addr = htonl(endpoint.address);
+    return address;
+}
+
+} // namespace
+
+PacketSocket::PacketSocket(boost::asio::io_context &context, const Endpoint &listen, Handler handler)
+    : handler_(std::move(handler))
+    , socket_(context)
+{
+    ErrorCode error;
+    socket_.open(udp::v4(), error);
+    if (!error) {
+        socket_.bind(udp::endpoint(boost::asio::ip::address_v4(listen.address), listen.port), error);
+    }
+    if (!error) {
+        socket_.non_blocking(true, error);
+    }
+    if (error) {
+        throw Error(ErrorKind::AddressTaken, fmt::format("packets at {}: {}", endpointToString(listen), error.message()));
+    }
+    ErrorCode ignored; // a smaller buffer than asked for only costs packets in a burst
+    socket_.set_option(boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
+    outgoing_.reserve(kBatch);
+}
+
+void PacketSocket::start()
+{
+    awaitReadable();
+}
+
+void PacketSocket::awaitReadable()
+{
+    socket_.async_wait(udp::socket::wait_read, [this](const ErrorCode &error) {
+        if (error) {
+            return;
+        }
+        receiveAll();
+        awaitReadable();
+    });
+}
+
+void PacketSocket::receiveAll()
+{
+    for (int batch = 0; batch < kMostBatches; ++batch) {
+        const auto received = receiveBatch();
+        if (received == 0) {
+            return;
+        }
+        outgoing_.clear();
+        handler_(std::span(datagrams_).first(received), outgoing_);
+        sendAll();
+        if (received < kBatch) {
+            return;
+        }
+    }
+}
+
+std::size_t PacketSocket::receiveBatch()
+{
+    std::array<mmsghdr, kBatch> messages{};
+    std::array<iovec, kBatch> pieces{};
+    for (std::size_t row = 0; row < kBatch; ++row) {
+        pieces.at(row) = {buffers_.at(row).data(), kBufferBytes};
+        messages.at(row).msg_hdr.msg_iov = &pieces.at(row);
+        messages.at(row).msg_hdr.msg_iovlen = 1;
+    }
+    const int received = ::recvmmsg(socket_.native_handle(), messages.data(), kBatch, MSG_DONTWAIT, nullptr);
+    if (received <= 0) {
+        return 0;
+    }
+    const auto count = static_cast<std::size_t>(received);
+    for (std::size_t row = 0; row < count; ++row) {
+        datagrams_.at(row) = std::span(buffers_.at(row)).first(messages.at(row).msg_len);
+    }
+    counts_.received += count;
+    return count;
+}
+
+// A datagram that the kernel does not take is lost, as on any network; both ends send again.
+void PacketSocket::sendAll()
+{
+    std::array<mmsghdr, kBatch> messages{};
+    std::array<std::array<iovec, 2>, kBatch> pieces{};
+    std::array<sockaddr_in, kBatch> addresses{};
+    std::size_t next = 0;
+    while (next < outgoing_.size()) {
+        const auto count = std::min(kBatch, outgoing_.size() - next);
+        for (std::size_t row = 0; row < count; ++row) {
+            auto &packet = outgoing_[next + row];
+            addresses.at(row) = toSocketAddress(packet.to);
+            auto &piece = pieces.at(row);
+            std::size_t used = 0;
+            if (packet.prefixBytes > 0) {
+                piece.at(used++) = {packet.prefix.data(), packet.prefixBytes};
+            }
+            piece.at(used++) = {const_cast<std::uint8_t *>(packet.body.data()), packet.body.size()};
+            auto &header = messages.at(row).msg_hdr;
+            header = {};
+            header.msg_name = &addresses.at(row);
+            header.msg_namelen = sizeof(sockaddr_in);
+            header.msg_iov = piece.data();
+            header.msg_iovlen = used;
+        }
+        const int sent = ::sendmmsg(socket_.native_handle(), messages.data(), static_cast<unsigned>(count), MSG_DONTWAIT);
+        const auto taken = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+        counts_.sent += taken;
+        // Step over the one that was refused.
+        if (taken < count) {
+            ++counts_.sendFailures;
+            next += taken + 1;
+        } else {
+            next += taken;
+        }
+    }
+}
+
+} // namespace medlarway
--- a/src/daemon/query.cpp
+++ b/src/pages/query.cpp
@@ -1,4 +1,4 @@
-#include "daemon/query.h"
+#include "pages/query.h"
 
 #include <charconv>
 #include <fmt/format.h>
--- /dev/null
+++ b/src/platform/packet_layout.cpp
@@ -0,0 +1,90 @@
+#include "platform/packet_layout.h"
+
+#include <boost/endian/conversion.hpp>
+
+namespace medlarway
+{
+
+namespace
+{
+
+// Where each field stands, and its width by the type that is read there. All are big-endian.
+constexpr std::size_t kTokenAt = 0; // "echo": each end gives back what it received last
+constexpr std::size_t kSourcePortAt = 8;
+constexpr std::size_t kDestinationAt = 10;
+constexpr std::size_t kSourceAt = 14;
+constexpr std::size_t kDestinationPortAt = 18;
+constexpr std::size_t kSequenceAt = 20;
+constexpr std::size_t kAcknowledgedAt = 24; // of an opening: how many copies went before
+constexpr std::size_t kDataBytesAt = 28;
+constexpr std::size_t kFlagsAt = 30;
+
+constexpr std::uint8_t kFlagSyn = 2;
+constexpr std::uint8_t kFlagAck = 16;
+constexpr std::uint8_t kFlagRst = 32;
+constexpr std::uint8_t kFlagFin = 64;
+
+std::uint16_t read16(std::span<const std::uint8_t> bytes, std::size_t at)
+{
+    return boost::endian::load_big_u16(bytes.data() + at);
+}
+
+std::uint32_t read32(std::span<const std::uint8_t> bytes, std::size_t at)
+{
+    return boost::endian::load_big_u32(bytes.data() + at);
+}
+
+} // namespace
+
+std::optional<FlowPacket> decodePacket(std::span<const std::uint8_t> datagram)
+{
+    if (datagram.size() < kPacketHeaderBytes || datagram.size() > kLongestPacketBytes) {
+        return std::nullopt;
+    }
+    FlowPacket packet;
+    packet.dataBytes = read16(datagram, kDataBytesAt);
+    if (datagram.size() != kPacketHeaderBytes + packet.dataBytes) {
+        return std::nullopt;
+    }
+    const auto flags = datagram[kFlagsAt];
+    // An answer to an opening is an upstream's; towards an upstream it would count as forged.
+    if ((flags & kFlagSyn) != 0 && (flags & kFlagAck) != 0) {
+        return std::nullopt;
+    }
+    packet.flow.client = {read32(datagram, kSourceAt), read16(datagram, kSourcePortAt)};
+    packet.flow.destination = {read32(datagram, kDestinationAt), read16(datagram, kDestinationPortAt)};
+    packet.token = read32(datagram, kTokenAt);
+    packet.sequence = read32(datagram, kSequenceAt);
+    packet.acknowledged = read32(datagram, kAcknowledgedAt);
+    packet.opens = (flags & kFlagSyn) != 0;
+    packet.finishes = (flags & kFlagFin) != 0;
+    packet.resets = (flags & kFlagRst) != 0;
+    return packet;
+}
+
+void writeToken(std::span<std::uint8_t> datagram, FlowToken token)
+{
+    boost::endian::store_big_u32(datagram.data() + kTokenAt, token);
+}
+
+std::array<std::uint8_t, kRecipientBytes> recipientPrefix(const UpstreamEntry &upstream)
+{
+    std::array<std::uint8_t, kRecipientBytes> prefix{};
+    boost::endian::store_big_u64(prefix.data(), upstream.number);
+    return prefix;
+}
+
+// It comes from the route's address, carries no sum, and a sequence that the client takes: what it acknowledged last.
+PacketHeader resetFor(const FlowPacket &packet)
+{
+    PacketHeader header{};
+    boost::endian::store_big_u16(header.data() + kSourcePortAt, packet.flow.destination.port);
+    boost::endian::store_big_u32(header.data() + kSourceAt, packet.flow.destination.address);
+    boost::endian::store_big_u32(header.data() + kDestinationAt, packet.flow.client.address);
+    boost::endian::store_big_u16(header.data() + kDestinationPortAt, packet.flow.client.port);
+    boost::endian::store_big_u32(header.data() + kSequenceAt, packet.opens ? 0 : packet.acknowledged);
+    header[kFlagsAt] = kFlagRst;
+    return header;
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/platform/store_connection.cpp
@@ -0,0 +1,85 @@
+#include "platform/store_connection.h"
+
+#include "base/counters.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+namespace medlarway
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
+
+// A page holds at most about 1 MB of items, or one value of that size, in base64.
+constexpr std::uint64_t kLongestBodyBytes = 4ULL << 20U;
+constexpr std::uint32_t kLongestHeadBytes = 8192;
+
+std::chrono::steady_clock::duration toSteady(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::steady_clock::duration>(duration);
+}
+
+} // namespace
+
+StoreConnection::StoreConnection(asio::io_context &context, const Endpoint &address)
+    : address_(address)
+    , stream_(context)
+{
+}
+
+asio::awaitable<bool> StoreConnection::connect(Duration timeout)
+{
+    if (connected_) {
+        co_return true;
+    }
+    buffer_.clear();
+    stream_.expires_after(toSteady(timeout));
+    const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(address_.address), address_.port);
+    const auto [error] = co_await stream_.async_connect(endpoint, kWaitForCompletion);
+    connected_ = !error;
+    co_return connected_;
+}
+
+asio::awaitable<std::optional<StoreReply>> StoreConnection::get(std::string target, Duration timeout)
+{
+    count(Counter::PlatformReads);
+    if (!co_await connect(timeout)) {
+        close();
+        co_return std::nullopt;
+    }
+    http::request<http::empty_body> request(http::verb::get, target, 11);
+    request.set(http::field::host, endpointToString(address_));
+    stream_.expires_after(toSteady(timeout));
+    const auto [writeError, written] = co_await http::async_write(stream_, request, kWaitForCompletion);
+    http::response_parser<http::string_body> parser;
+    parser.header_limit(kLongestHeadBytes);
+    parser.body_limit(kLongestBodyBytes);
+    ErrorCode error = writeError;
+    if (!error) {
+        const auto [readError, read] = co_await http::async_read(stream_, buffer_, parser, kWaitForCompletion);
+        error = readError;
+    }
+    if (error || !parser.get().keep_alive()) {
+        close();
+    }
+    if (error) {
+        co_return std::nullopt;
+    }
+    co_return StoreReply{parser.get().result_int(), std::move(parser.get().body())};
+}
+
+void StoreConnection::close()
+{
+    connected_ = false;
+    stream_.close();
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/platform/store_connection.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/time.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <optional>
+#include <string>
+
+namespace medlarway
+{
+
+/// What the store answered.
+struct StoreReply {
+    unsigned status = 0;
+    std::string body;
+};
+
+/// One connection to the store, for one request at a time; made again when it is needed and was lost.
+class StoreConnection
+{
+public:
+    StoreConnection(boost::asio::io_context &context, const Endpoint &address);
+
+    /// Asks for a target; nullopt where no answer came within the time. The connection is then given up, since
+    /// a store that lost an answer sends nothing further on it.
+    boost::asio::awaitable<std::optional<StoreReply>> get(std::string target, Duration timeout);
+
+    /// Ends the connection and what waits on it.
+    void close();
+
+private:
+    boost::asio::awaitable<bool> connect(Duration timeout);
+
+    Endpoint address_;
+    boost::beast::tcp_stream stream_;
+    boost::beast::flat_buffer buffer_;
+    bool connected_ = false;
+};
+
+} // namespace medlarway
--- /dev/null
+++ b/src/settings/entry_settings.cpp
@@ -0,0 +1,137 @@
+#include "settings/entry_settings.h"
+
+#include "base/errors.h"
+#include "yaml/map_reader.h"
+#include "yaml/text_file.h"
+
+#include <charconv>
+#include <chrono>
+#include <fmt/format.h>
+#include <utility>
+
+namespace medlarway
+{
+
+namespace
+{
+
+constexpr std::uint64_t kLongestFileBytes = 1ULL << 20U;
+constexpr std::size_t kMostSeeds = 64;
+constexpr double kLongestGraceSeconds = 3600;
+constexpr Range<std::uint32_t> kFlows{1, 100'000'000};
+
+void readSeeds(MapReader &reader, Faults &faults, std::vector<Endpoint> &seeds)
+{
+    for (const auto &node : reader.list("seeds", kMostSeeds)) {
+        const auto seed = node.IsScalar() ? parseEndpoint(node.Scalar()) : std::nullopt;
+        if (seed) {
+            seeds.push_back(*seed);
+        } else {
+            faults.push_back({positionOf(node), "entry: seeds must be addresses with ports"});
+        }
+    }
+}
+
+// Given in seconds, with a fraction where the platform's bound has one.
+void readGrace(MapReader &reader, Duration &grace)
+{
+    std::string text;
+    reader.text("grace-seconds", text);
+    if (text.empty()) {
+        return;
+    }
+    double seconds = 0;
+    const auto *end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, seconds);
+    if (error != std::errc{} || rest != end || !(seconds >= 0 && seconds <= kLongestGraceSeconds)) {
+        reader.fault("grace-seconds", fmt::format("must be a number from 0 to {}", kLongestGraceSeconds));
+        return;
+    }
+    grace = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+void readEntry(const YAML::Node &node, EntrySettings &settings, Faults &faults)
+{
+    MapReader reader(node, "entry", faults);
+    reader.require("name").text("name", settings.name);
+    reader.require("zone").text("zone", settings.zone.name);
+    reader.choice<LogLevel>(
+        "log-level", settings.logLevel,
+        {{"debug", LogLevel::Debug}, {"info", LogLevel::Info}, {"warning", LogLevel::Warning}, {"error", LogLevel::Error}});
+    reader.require("packets").endpoint("packets", settings.packets);
+    reader.require("ready").endpoint("ready", settings.ready);
+    reader.require("control").endpoint("control", settings.control);
+    reader.require("store").endpoint("store", settings.store);
+    reader.require("peers").endpoint("peers", settings.peers);
+    readSeeds(reader, faults, settings.seeds);
+    readGrace(reader, settings.grace);
+    reader.number("flows", settings.flows, kFlows);
+    reader.refuseUnknown();
+    if (settings.ready.port != 0 && settings.ready == settings.control) {
+        reader.fault("control", "must differ from ready");
+    }
+}
+
+} // namespace
+
+bool isEntryFile(const std::string &path)
+{
+    const auto text = readTextFile(path, kLongestFileBytes);
+    Faults faults;
+    const auto document = text ? readDocument(*text, faults) : std::nullopt;
+    return document && document->IsMap() && (*document)["entry"];
+}
+
+Parsed<EntrySettings> parseEntrySettings(std::string_view text)
+{
+    Parsed<EntrySettings> result;
+    const auto document = readDocument(text, result.faults);
+    if (!document) {
+        return result;
+    }
+    MapReader top(*document, "settings", result.faults);
+    EntrySettings settings;
+    if (const auto node = top.require("entry").node("entry")) {
+        readEntry(*node, settings, result.faults);
+    }
+    top.refuseUnknown();
+    if (result.faults.empty()) {
+        result.value = std::move(settings);
+    }
+    sortFaults(result.faults);
+    return result;
+}
+
+EntrySettings loadEntrySettings(const std::string &path)
+{
+    const auto text = readTextFile(path, kLongestFileBytes);
+    if (!text) {
+        throw Error(ErrorKind::BadSettings, path + ": can't be read or is longer than 1 MiB");
+    }
+    auto parsed = parseEntrySettings(*text);
+    if (!parsed.value) {
+        throw Error(ErrorKind::BadSettings, faultsToString(parsed.faults, path + ":"));
+    }
+    return std::move(*parsed.value);
+}
+
+std::vector<std::string> changesThatNeedRestart(const EntrySettings &running, const EntrySettings &wanted)
+{
+    std::vector<std::string> names;
+    const auto compare = [&names](const char *name, bool same) {
+        if (!same) {
+            names.emplace_back(name);
+        }
+    };
+    compare("name", running.name == wanted.name);
+    compare("zone", running.zone == wanted.zone);
+    compare("packets", running.packets == wanted.packets);
+    compare("ready", running.ready == wanted.ready);
+    compare("control", running.control == wanted.control);
+    compare("store", running.store == wanted.store);
+    compare("peers", running.peers == wanted.peers);
+    compare("flows", running.flows == wanted.flows);
+    return names;
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/steering/life_signs.cpp
@@ -0,0 +1,36 @@
+#include "steering/life_signs.h"
+
+namespace medlarway
+{
+
+bool noteProgress(LifeSigns &life, Time now)
+{
+    const bool suspected = life.suspectedAt.has_value();
+    life.lastProgress = now;
+    life.stalledFlows = 0;
+    ++life.generation;
+    life.suspectedAt.reset();
+    return suspected;
+}
+
+// Each flow counts once between two signs of life, so that one client that sends again and again proves nothing.
+bool noteStall(LifeSigns &life, std::uint32_t &countedIn, Time now)
+{
+    if (countedIn != life.generation) {
+        countedIn = life.generation;
+        ++life.stalledFlows;
+    }
+    if (life.suspectedAt || life.stalledFlows < kStalledFlowsToSuspect || now - life.lastProgress < kSilenceToSuspect) {
+        return false;
+    }
+    life.suspectedAt = now;
+    life.lastTrial = now;
+    return true;
+}
+
+bool takesNewFlows(const LifeSigns &life, Time now)
+{
+    return !life.suspectedAt || now - life.lastTrial >= kTrialInterval;
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/steering/life_signs.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "steering/directory.h"
+
+namespace medlarway
+{
+
+/// Flows that must be stalled at once before an upstream is suspected. One or two may be the client's own link.
+inline constexpr std::uint32_t kStalledFlowsToSuspect = 3;
+
+/// Silence that must have passed as well: longer than the clients' first retransmission (200 ms), so that every
+/// flow in use had the chance to show an answer.
+inline constexpr Duration kSilenceToSuspect = std::chrono::milliseconds{250};
+
+/// How often a suspected upstream is tried with one new flow.
+inline constexpr Duration kTrialInterval = std::chrono::seconds{1};
+
+/// A client showed that the upstream had answered. True where it had been suspected.
+bool noteProgress(LifeSigns &life, Time now);
+
+/// A flow sent again without an answer. countedIn is the flow's own memory of when it was counted last.
+/// True where the upstream became suspected by it.
+bool noteStall(LifeSigns &life, std::uint32_t &countedIn, Time now);
+
+/// Whether new flows may go there: not suspected, or due for a trial.
+bool takesNewFlows(const LifeSigns &life, Time now);
+
+} // namespace medlarway
