--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -93,6 +93,13 @@
     }
 }
 
+void UpstreamDirectory::clearExpected()
+{
+    for (auto &known : upstreams_) {
+        known.expected = 0;
+    }
+}
+
 UpstreamIndex UpstreamDirectory::findToken(FlowToken token) const
 {
     const auto found = byToken_.find(token);
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -45,7 +45,8 @@
     std::uint32_t generation = 1; ///< rises with each sign of life; flows remember in which they were counted
     std::uint32_t stalledFlows = 0; ///< flows that sent again without an answer since the last sign of life
     std::optional<Time> suspectedAt; ///< set while it is taken for unreachable
-    Time lastTrial; ///< when a new flow was last sent to it while suspected
+    Time lastTrial; ///< when a new flow was last sent to it while suspected, or the suspicion began
+    std::uint32_t trials = 0; ///< since the suspicion began
 
     friend bool operator==(const LifeSigns &, const LifeSigns &) = default;
 };
@@ -89,6 +90,9 @@
     /// Forgets upstreams that have been gone for long and have no flows here.
     void expire(Time now);
 
+    /// Sets the expected load of every upstream to 0, before it is added up again.
+    void clearExpected();
+
     /// The upstream that a token names; among several the one that is listed. kNoUpstream where none is known.
     UpstreamIndex findToken(FlowToken token) const;
 
--- a/src/steering/flow_placing.cpp
+++ b/src/steering/flow_placing.cpp
@@ -30,9 +30,26 @@
     return 0;
 }
 
-bool mayTake(const KnownUpstream &upstream, Time now)
+// Suspected ones only when they are due for a trial. One of the own zone is then tried whatever it seems to run: what
+// waits there is the very reason for the suspicion.
+enum class Fitness : std::uint8_t {
+    Unfit,
+    ByCost,
+    Trial,
+};
+
+Fitness fitness(const KnownUpstream &upstream, const PlacingRequest &request, Time now)
 {
-    return !upstream.entry.draining && takesNewFlows(upstream.life, now);
+    if (upstream.entry.draining) {
+        return Fitness::Unfit;
+    }
+    if (!upstream.life.suspectedAt) {
+        return Fitness::ByCost;
+    }
+    if (!dueForTrial(upstream.life, now)) {
+        return Fitness::Unfit;
+    }
+    return upstream.entry.zone == *request.zone ? Fitness::Trial : Fitness::ByCost;
 }
 
 UpstreamIndex cheapest(const UpstreamDirectory &directory, std::span<const UpstreamIndex> candidates, const PlacingRequest &request,
@@ -42,9 +59,13 @@
     double lowest = std::numeric_limits<double>::max();
     for (const auto index : candidates) {
         const auto &upstream = directory.at(index);
-        if (index == request.avoid || !mayTake(upstream, now)) {
+        const auto fit = fitness(upstream, request, now);
+        if (index == request.avoid || fit == Fitness::Unfit) {
             continue;
         }
+        if (fit == Fitness::Trial) {
+            return index;
+        }
         const double cost = placingCost(upstream, request, weights, now) + kTieNoise * random.unit();
         if (cost < lowest) {
             lowest = cost;
--- a/src/steering/flow_placing.h
+++ b/src/steering/flow_placing.h
@@ -9,7 +9,7 @@
 
 /// What placing weighs. Loads are in requests for each slot of an upstream.
 struct PlacingWeights {
-    double otherZone = 0.4; ///< load that a flow accepts more in its own zone: crossing costs delay, bytes, and a cut breaks it
+    double otherZone = 0.8; ///< load that a flow accepts more in its own zone: crossing costs delay, bytes, and a cut breaks it
     double running = 0.2; ///< of what runs this moment, against what the open flows are expected to run
     double waiting = 1.0; ///< of requests that would have to wait for a slot
     double warmUp = 0.3; ///< added while an upstream is slow after its start
--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -190,8 +190,8 @@
     request.busyShare = usages_.busyShare(usage);
     request.avoid = avoid;
     const auto upstream = placeFlow(directory_, request, options_.weights, random_, now);
-    if (upstream != kNoUpstream && directory_.at(upstream).life.suspectedAt) {
-        directory_.at(upstream).life.lastTrial = now;
+    if (upstream != kNoUpstream) {
+        noteNewFlow(directory_.at(upstream).life, now);
     }
     return upstream;
 }
@@ -341,6 +341,13 @@
         return;
     }
     lastSweep_ = now;
+    forgetSilent(now);
+    directory_.expire(now);
+    refreshExpected();
+}
+
+void FlowSteering::forgetSilent(Time now)
+{
     const auto idle = routes_.config().idleTimeout + kIdleMargin;
     std::vector<FlowId> ended;
     for (const auto &[id, flow] : flows_) {
@@ -351,7 +358,18 @@
     for (const auto &id : ended) {
         forget(id);
     }
-    directory_.expire(now);
+}
+
+// A flow keeps the share that its route had when it was opened; what routes run changes over the flow's life.
+void FlowSteering::refreshExpected()
+{
+    directory_.clearExpected();
+    for (auto &[id, flow] : flows_) {
+        if (!flow.closing) {
+            flow.share = static_cast<float>(usages_.busyShare(flow.usage));
+            directory_.at(flow.upstream).expected += flow.share;
+        }
+    }
 }
 
 std::vector<SteeringNews> FlowSteering::takeNews()
--- a/src/steering/flow_steering.h
+++ b/src/steering/flow_steering.h
@@ -162,6 +162,8 @@
     void moveTo(SteeredFlow &flow, UpstreamIndex upstream);
     void release(SteeredFlow &flow);
     void forget(const FlowId &id);
+    void forgetSilent(Time now);
+    void refreshExpected();
 
     SteeringOptions options_;
     Random random_;
--- a/src/steering/life_signs.cpp
+++ b/src/steering/life_signs.cpp
@@ -1,5 +1,7 @@
 #include "steering/life_signs.h"
 
+#include <algorithm>
+
 namespace medlarway
 {
 
@@ -25,12 +27,21 @@
     }
     life.suspectedAt = now;
     life.lastTrial = now;
+    life.trials = 0;
     return true;
 }
 
-bool takesNewFlows(const LifeSigns &life, Time now)
+bool dueForTrial(const LifeSigns &life, Time now)
 {
-    return !life.suspectedAt || now - life.lastTrial >= kTrialInterval;
+    return life.suspectedAt && now - life.lastTrial >= kTrialInterval * (1U << std::min(life.trials, kMostTrialDoublings));
+}
+
+void noteNewFlow(LifeSigns &life, Time now)
+{
+    if (life.suspectedAt) {
+        life.lastTrial = now;
+        ++life.trials;
+    }
 }
 
 } // namespace medlarway
--- a/src/steering/life_signs.h
+++ b/src/steering/life_signs.h
@@ -12,9 +12,12 @@
 /// flow in use had the chance to show an answer.
 inline constexpr Duration kSilenceToSuspect = std::chrono::milliseconds{250};
 
-/// How often a suspected upstream is tried with one new flow.
+/// When a suspected upstream is first tried with one new flow. Each further trial waits twice as long as the one before.
 inline constexpr Duration kTrialInterval = std::chrono::seconds{1};
 
+/// Doublings of the interval; then it stays.
+inline constexpr std::uint32_t kMostTrialDoublings = 3;
+
 /// A client showed that the upstream had answered. True where it had been suspected.
 bool noteProgress(LifeSigns &life, Time now);
 
@@ -22,7 +25,10 @@
 /// True where the upstream became suspected by it.
 bool noteStall(LifeSigns &life, std::uint32_t &countedIn, Time now);
 
-/// Whether new flows may go there: not suspected, or due for a trial.
-bool takesNewFlows(const LifeSigns &life, Time now);
+/// Whether a suspected upstream is due to be tried.
+bool dueForTrial(const LifeSigns &life, Time now);
+
+/// A new flow goes to the upstream; a trial, where it is suspected.
+void noteNewFlow(LifeSigns &life, Time now);
 
 } // namespace medlarway
