platform: one held watch for everything that the store publishes

Two followers, one asked again every 0.8 s since heartbeats were thought to wake each watch. Ruled out: stale reads at a tenth of the price, which may be seconds behind a bound of 3 s. Change: one watch with an empty prefix, held for 2.8 s, and a rest of 250 ms after an answer with changes. Wait and timeout together stay below 4 s, after which a host whose connections fell silent must have noticed.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -30,9 +30,9 @@
 // What a stop leaves of its grace, for a process that gets little processor time.
 constexpr std::chrono::milliseconds kGraceMargin{1000};
 
-// How long after the platform's last word a host may still say for certain that a route does not exist. Below
-// the time in which a change must be in force.
-constexpr std::chrono::milliseconds kCertainty{2900};
+// How long after the platform's last word a host may still say for certain that a route does not exist: while a watch
+// is held that has not been given up yet.
+constexpr Duration kCertainty = StoreFeedOptions{}.wait + StoreFeedOptions{}.answerTimeout;
 
 Time monotonicNow()
 {
@@ -140,7 +140,7 @@
 
 void EntryHost::updateCertainty()
 {
-    steering_.setCertainUntil(upstreamsRead_ ? std::min(feed_.configHeardAt(), feed_.upstreamsHeardAt()) + kCertainty : Time{});
+    steering_.setCertainUntil(upstreamsRead_ ? feed_.heardAt() + kCertainty : Time{});
 }
 
 void EntryHost::logNews()
@@ -187,7 +187,7 @@
 
 bool EntryHost::ready() const
 {
-    return !stopping_ && upstreamsRead_ && feed_.configHeardAt() != Time{};
+    return !stopping_ && upstreamsRead_ && steering_.routes().version() > 0;
 }
 
 OperatorAnswer EntryHost::answerReady(const std::string &target) const
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -20,22 +20,13 @@
 constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
 
 constexpr std::string_view kConfigKey = "op/config";
-constexpr std::string_view kConfigPrefix = "op/";
 constexpr std::string_view kUpstreamPrefix = "servers/";
 
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusHistoryGone = 410;
 
-// How long the store may hold a watch of the upstreams. Their heartbeats end it far earlier.
-constexpr std::chrono::milliseconds kUpstreamWait{1000};
-
 constexpr std::uint32_t kMostDoublings = 8;
 
-Time now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::int64_t milliseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -48,65 +39,49 @@
     , options_(options)
     , sink_(std::move(sink))
     , random_(options.seed)
-    , config_(context, options.address)
-    , upstreams_(context, options.address)
+    , connection_(context, options.address)
+    , timer_(context)
 {
 }
 
 void StoreFeed::start()
 {
     running_ = true;
-    asio::co_spawn(context_, followConfig(), asio::detached);
-    asio::co_spawn(context_, followUpstreams(), asio::detached);
+    asio::co_spawn(context_, follow(), asio::detached);
 }
 
 void StoreFeed::stop()
 {
     running_ = false;
-    for (auto *follower : {&config_, &upstreams_}) {
-        follower->connection.close();
-        follower->timer.cancel();
-    }
+    connection_.close();
+    timer_.cancel();
 }
 
-// The configuration changes seldom and must be in force soon, so the store holds the watch.
-asio::awaitable<void> StoreFeed::followConfig()
+// One watch covers everything that is published, as each call has a price. The store holds it until something changes;
+// a burst of changes is taken in a few answers.
+asio::awaitable<void> StoreFeed::follow()
 {
     while (running_) {
-        const bool good = config_.asOf == 0 ? co_await readWhole(config_, std::string(kConfigPrefix))
-                                            : co_await watch(config_, std::string(kConfigPrefix), options_.configWait);
-        if (!good) {
-            co_await pause(config_, backOff(config_));
+        const bool good = asOf_ == 0 ? co_await readWhole() : co_await watch();
+        const auto rest = good ? (changed_ ? options_.pace : Duration{}) : backOff();
+        if (rest > Duration{}) {
+            timer_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(rest));
+            co_await timer_.async_wait(kWaitForCompletion);
         }
     }
 }
 
-// Each upstream writes several times in each second or two, and every write would wake a watch that is held. What has
-// changed is therefore fetched at a steady pace.
-asio::awaitable<void> StoreFeed::followUpstreams()
-{
-    while (running_) {
-        const bool good = upstreams_.asOf == 0 ? co_await readWhole(upstreams_, std::string(kUpstreamPrefix))
-                                               : co_await watch(upstreams_, std::string(kUpstreamPrefix), kUpstreamWait);
-        co_await pause(upstreams_, good ? options_.pace : backOff(upstreams_));
-    }
-}
-
 // Pages are no snapshot: watching goes on from the first page's revision, so that nothing between two pages is missed.
-asio::awaitable<bool> StoreFeed::readWhole(Follower &follower, std::string prefix)
+asio::awaitable<bool> StoreFeed::readWhole()
 {
     std::vector<std::string> ids;
     std::uint64_t asOf = 0;
-    std::string after;
+    std::string target = "/v1/kv-range?prefix=";
     for (bool more = true; more;) {
-        auto target = fmt::format("/v1/kv-range?prefix={}", prefix);
-        if (!after.empty()) {
-            target += "&after=" + after;
-        }
-        const auto reply = co_await follower.connection.get(target, options_.answerTimeout);
+        const auto reply = co_await connection_.get(target, options_.answerTimeout);
         const auto answer = reply && reply->status == kStatusOk ? decodeStoreAnswer(reply->body) : std::nullopt;
         if (!answer) {
-            co_return noteFailure(follower, fmt::format("reading {}: status {}", prefix, reply ? reply->status : 0));
+            co_return noteFailure("read", reply ? reply->status : 0);
         }
         asOf = asOf == 0 ? answer->asOf : asOf;
         for (const auto &item : answer->items) {
@@ -116,42 +91,32 @@
             }
         }
         more = answer->hasMore && !answer->items.empty();
-        after = answer->items.empty() ? "" : answer->items.back().key;
-    }
-    if (prefix == kUpstreamPrefix) {
-        sink_.whole(ids, asOf);
+        target = more ? "/v1/kv-range?prefix=&after=" + answer->items.back().key : "";
     }
-    follower.asOf = asOf;
-    noteSuccess(follower);
+    sink_.whole(ids, asOf);
+    noteSuccess(asOf, true);
     co_return true;
 }
 
-asio::awaitable<bool> StoreFeed::watch(Follower &follower, std::string prefix, Duration wait)
+asio::awaitable<bool> StoreFeed::watch()
 {
-    const auto target = fmt::format("/v1/kv-watch?prefix={}&after={}&wait-ms={}", prefix, follower.asOf, milliseconds(wait));
-    const auto reply = co_await follower.connection.get(target, wait + options_.answerTimeout);
+    const auto target = fmt::format("/v1/kv-watch?prefix=&after={}&wait-ms={}", asOf_, milliseconds(options_.wait));
+    const auto reply = co_await connection_.get(target, options_.wait + options_.answerTimeout);
     if (reply && reply->status == kStatusHistoryGone) {
-        follower.asOf = 0;
+        asOf_ = 0;
         co_return true;
     }
     const auto answer = reply && reply->status == kStatusOk ? decodeStoreAnswer(reply->body) : std::nullopt;
     if (!answer) {
-        co_return noteFailure(follower, fmt::format("watching {}: status {}", prefix, reply ? reply->status : 0));
+        co_return noteFailure("watch", reply ? reply->status : 0);
     }
     for (const auto &item : answer->items) {
         take(item);
     }
-    follower.asOf = std::max(follower.asOf, answer->asOf);
-    noteSuccess(follower);
+    noteSuccess(std::max(asOf_, answer->asOf), !answer->items.empty());
     co_return true;
 }
 
-asio::awaitable<void> StoreFeed::pause(Follower &follower, Duration duration)
-{
-    follower.timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(duration));
-    co_await follower.timer.async_wait(kWaitForCompletion);
-}
-
 // An entry that can't be read names no upstream to use, whatever it said before.
 void StoreFeed::take(const StoreItem &item)
 {
@@ -175,26 +140,28 @@
     }
 }
 
-void StoreFeed::noteSuccess(Follower &follower)
+void StoreFeed::noteSuccess(std::uint64_t asOf, bool changed)
 {
-    follower.heardAt = now();
-    if (follower.failures > 0) {
-        logEvent(Event::PlatformRecovered, {field("failures", follower.failures)});
+    asOf_ = asOf;
+    changed_ = changed;
+    heardAt_ = std::chrono::steady_clock::now();
+    if (failures_ > 0) {
+        logEvent(Event::PlatformRecovered, {field("failures", failures_), field("revision", asOf)});
     }
-    follower.failures = 0;
+    failures_ = 0;
 }
 
-bool StoreFeed::noteFailure(Follower &follower, const std::string &detail)
+bool StoreFeed::noteFailure(std::string_view call, unsigned status)
 {
-    ++follower.failures;
-    reportError(ErrorKind::PlatformUnreachable, detail);
+    ++failures_;
+    reportError(ErrorKind::PlatformUnreachable, fmt::format("{}: {}", call, status == 0 ? "no answer" : fmt::format("status {}", status)));
     return false;
 }
 
 // Doubles, with jitter so that hosts don't come back together.
-Duration StoreFeed::backOff(const Follower &follower)
+Duration StoreFeed::backOff()
 {
-    const auto doubled = options_.shortestBackOff * (1U << std::min(follower.failures, kMostDoublings));
+    const auto doubled = options_.shortestBackOff * (1U << std::min(failures_, kMostDoublings));
     const auto longest = std::min(options_.longestBackOff, doubled);
     return std::chrono::duration_cast<Duration>(longest * (0.5 + 0.5 * random_.unit()));
 }
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -16,9 +16,11 @@
 struct StoreFeedOptions {
     Endpoint address;
     std::uint64_t seed = 1; ///< of the jitter
-    Duration pace = std::chrono::milliseconds{800}; ///< between two reads of what changed at the upstreams; each call has a price
-    Duration configWait = std::chrono::seconds{2}; ///< how long the store may hold the watch of the configuration
-    Duration answerTimeout = std::chrono::milliseconds{900}; ///< beyond the wait; a connection that is silent for longer is given up
+    Duration pace = std::chrono::milliseconds{250}; ///< rest after an answer with changes; more may follow, and each call has a price
+    Duration wait = std::chrono::milliseconds{2800}; ///< how long the store may hold a watch
+    /// Beyond the wait; a connection that is silent for longer is given up. Wait and timeout together stay below the 4 s after
+    /// which a host whose connections fell silent must have noticed it.
+    Duration answerTimeout = std::chrono::milliseconds{900};
     Duration shortestBackOff = std::chrono::milliseconds{150};
     Duration longestBackOff = std::chrono::seconds{1};
 
@@ -33,7 +35,7 @@
     std::function<void(const std::vector<std::string> &ids, std::uint64_t revision)> whole; ///< exactly these were there
 };
 
-/// Reads the operator's configuration and the upstreams' entries, and follows both.
+/// Reads all that the store publishes, the operator's configuration and the upstreams' entries, and follows it.
 class StoreFeed
 {
 public:
@@ -45,50 +47,37 @@
     /// Ends what runs.
     void stop();
 
-    /// When the store last said what the newest configuration is; the epoch before the first time.
-    Time configHeardAt() const
+    /// When the store last answered; the epoch before the first time. What it publishes was known then.
+    Time heardAt() const
     {
-        return config_.heardAt;
+        return heardAt_;
     }
 
-    /// When the store last said which upstreams there are; the epoch before the first time.
-    Time upstreamsHeardAt() const
+    /// The store's revision up to which everything is known; 0 before the first answer and once the history is gone.
+    std::uint64_t asOf() const
     {
-        return upstreams_.heardAt;
+        return asOf_;
     }
 
 private:
-    // One followed prefix with its own connection.
-    struct Follower {
-        Follower(boost::asio::io_context &context, const Endpoint &address)
-            : connection(context, address)
-            , timer(context)
-        {
-        }
-
-        StoreConnection connection;
-        boost::asio::steady_timer timer;
-        std::uint64_t asOf = 0; ///< 0: must be read whole
-        std::uint32_t failures = 0; ///< in a row
-        Time heardAt;
-    };
-
-    boost::asio::awaitable<void> followConfig();
-    boost::asio::awaitable<void> followUpstreams();
-    boost::asio::awaitable<bool> readWhole(Follower &follower, std::string prefix);
-    boost::asio::awaitable<bool> watch(Follower &follower, std::string prefix, Duration wait);
-    boost::asio::awaitable<void> pause(Follower &follower, Duration duration);
+    boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<bool> readWhole();
+    boost::asio::awaitable<bool> watch();
     void take(const StoreItem &item);
-    void noteSuccess(Follower &follower);
-    bool noteFailure(Follower &follower, const std::string &detail);
-    Duration backOff(const Follower &follower);
+    void noteSuccess(std::uint64_t asOf, bool changed);
+    bool noteFailure(std::string_view call, unsigned status);
+    Duration backOff();
 
     boost::asio::io_context &context_;
     StoreFeedOptions options_;
     StoreFeedSink sink_;
     Random random_;
-    Follower config_;
-    Follower upstreams_;
+    StoreConnection connection_;
+    boost::asio::steady_timer timer_;
+    std::uint64_t asOf_ = 0; ///< 0: must be read whole
+    std::uint32_t failures_ = 0; ///< in a row
+    bool changed_ = false; ///< by the last answer
+    Time heardAt_;
     bool running_ = false;
 };
 
