--- /dev/null
+++ b/src/standin/store.cpp
@@ -0,0 +1,292 @@
+#include "standin/store.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <fmt/format.h>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+#include <vector>
+
+namespace medlarway
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using Json = nlohmann::json;
+
+constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds kHoldStep{5}; // how often a held watch looks again
+constexpr std::size_t kPageItems = 50;
+
+std::string queryText(std::string_view target, std::string_view name)
+{
+    const auto found = target.find(fmt::format("{}=", name));
+    if (found == std::string_view::npos) {
+        return {};
+    }
+    const auto begin = found + name.size() + 1;
+    return std::string(target.substr(begin, target.find('&', begin) - begin));
+}
+
+std::uint64_t queryNumber(std::string_view target, std::string_view name)
+{
+    const auto text = queryText(target, name);
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::string encodeBase64(const std::string &bytes)
+{
+    std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+    sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(),
+                      sodium_base64_VARIANT_ORIGINAL);
+    text.pop_back(); // the terminating zero
+    return text;
+}
+
+struct Change {
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+    bool deleted = false;
+};
+
+Json toJson(const Change &change)
+{
+    if (change.deleted) {
+        return {{"key", change.key}, {"revision", change.revision}, {"deleted", true}};
+    }
+    return {{"key", change.key}, {"value", encodeBase64(change.value)}, {"revision", change.revision}, {"create-rev", change.revision}, {"lease", 0}};
+}
+
+} // namespace
+
+struct StandinStore::Impl : std::enable_shared_from_this<Impl> {
+    Impl(asio::io_context &given, const Endpoint &listen)
+        : context(given)
+        , acceptor(given, tcp::endpoint(asio::ip::address_v4(listen.address), listen.port))
+    {
+    }
+
+    asio::awaitable<void> acceptAll(std::shared_ptr<Impl> self)
+    {
+        for (;;) {
+            auto [error, socket] = co_await acceptor.async_accept(kWaitForCompletion);
+            if (error) {
+                co_return;
+            }
+            asio::co_spawn(context, serve(self, std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<Impl> self, tcp::socket socket)
+    {
+        beast::flat_buffer buffer;
+        for (;;) {
+            http::request<http::empty_body> request;
+            const auto [readError, read] = co_await http::async_read(socket, buffer, request, kWaitForCompletion);
+            if (readError || !self->open) {
+                co_return;
+            }
+            ++calls;
+            http::response<http::string_body> response(http::status::ok, 11);
+            co_await answer(std::string(request.target().data(), request.target().size()), response);
+            if (fault == StoreFault::Resets) {
+                beast::error_code ignored;
+                socket.set_option(asio::socket_base::linger(true, 0), ignored);
+                co_return;
+            }
+            if (fault == StoreFault::Silent) {
+                co_await hold(std::chrono::hours{1}, [this] { return !open; });
+                co_return;
+            }
+            response.prepare_payload();
+            const auto [writeError, written] = co_await http::async_write(socket, response, kWaitForCompletion);
+            if (writeError) {
+                co_return;
+            }
+        }
+    }
+
+    template<class Condition>
+    asio::awaitable<void> hold(std::chrono::milliseconds longest, Condition condition)
+    {
+        asio::steady_timer timer(context);
+        const auto end = std::chrono::steady_clock::now() + longest;
+        while (open && !condition() && std::chrono::steady_clock::now() < end) {
+            timer.expires_after(kHoldStep);
+            co_await timer.async_wait(kWaitForCompletion);
+        }
+    }
+
+    asio::awaitable<void> answer(std::string target, http::response<http::string_body> &response)
+    {
+        if (fault == StoreFault::Busy || fault == StoreFault::TooMany) {
+            response.result(fault == StoreFault::Busy ? http::status::service_unavailable : http::status::too_many_requests);
+            co_return;
+        }
+        if (target.starts_with("/v1/kv-range")) {
+            response.body() = range(queryText(target, "prefix"), queryText(target, "after"));
+            co_return;
+        }
+        if (!target.starts_with("/v1/kv-watch")) {
+            response.result(http::status::not_found);
+            co_return;
+        }
+        const auto prefix = queryText(target, "prefix");
+        const auto after = queryNumber(target, "after");
+        ++held;
+        co_await hold(std::chrono::milliseconds{queryNumber(target, "wait-ms")},
+                      [&] { return fault != StoreFault::None || after < historyStart || !changesAfter(prefix, after).empty(); });
+        --held;
+        if (after < historyStart) {
+            response.result(http::status::gone);
+            co_return;
+        }
+        response.body() = Json{{"events", changesAfter(prefix, after)}, {"as-of", revision}}.dump();
+    }
+
+    std::string range(const std::string &prefix, const std::string &after) const
+    {
+        auto page = Json::array();
+        bool more = false;
+        for (auto item = items.upper_bound(after); item != items.end(); ++item) {
+            if (!item->first.starts_with(prefix)) {
+                continue;
+            }
+            more = page.size() == pageItems;
+            if (more) {
+                break;
+            }
+            page.push_back(toJson(item->second));
+        }
+        return Json{{"items", page}, {"has-more", more}, {"as-of", revision}}.dump();
+    }
+
+    Json changesAfter(const std::string &prefix, std::uint64_t after) const
+    {
+        auto list = Json::array();
+        for (const auto &change : history) {
+            if (change.revision > after && change.key.starts_with(prefix)) {
+                list.push_back(toJson(change));
+            }
+        }
+        return list;
+    }
+
+    asio::io_context &context;
+    tcp::acceptor acceptor;
+    bool open = true;
+    StoreFault fault = StoreFault::None;
+    std::size_t pageItems = kPageItems;
+    std::size_t calls = 0;
+    std::size_t held = 0;
+    std::uint64_t revision = 1;
+    std::uint64_t historyStart = 0;
+    std::map<std::string, Change> items;
+    std::vector<Change> history;
+};
+
+StandinStore::StandinStore(asio::io_context &context, const Endpoint &listen)
+    : impl_(std::make_shared<Impl>(context, listen))
+{
+    asio::co_spawn(context, impl_->acceptAll(impl_), asio::detached);
+}
+
+StandinStore::~StandinStore()
+{
+    impl_->open = false;
+    beast::error_code ignored;
+    impl_->acceptor.close(ignored);
+}
+
+Endpoint StandinStore::address() const
+{
+    const auto local = impl_->acceptor.local_endpoint();
+    return {local.address().to_v4().to_uint(), local.port()};
+}
+
+std::uint64_t StandinStore::put(const std::string &key, const std::string &value)
+{
+    const Change change{key, value, ++impl_->revision, false};
+    impl_->items[key] = change;
+    impl_->history.push_back(change);
+    return change.revision;
+}
+
+std::uint64_t StandinStore::remove(const std::string &key)
+{
+    impl_->items.erase(key);
+    impl_->history.push_back({key, {}, ++impl_->revision, true});
+    return impl_->revision;
+}
+
+void StandinStore::setFault(StoreFault fault)
+{
+    impl_->fault = fault;
+}
+
+void StandinStore::dropHistory()
+{
+    impl_->historyStart = impl_->revision;
+    impl_->history.clear();
+}
+
+void StandinStore::setPageItems(std::size_t items)
+{
+    impl_->pageItems = items;
+}
+
+std::size_t StandinStore::calls() const
+{
+    return impl_->calls;
+}
+
+std::size_t StandinStore::heldWatches() const
+{
+    return impl_->held;
+}
+
+std::string standinUpstreamEntry(const std::string &service, const Endpoint &address, const std::string &zone, const std::string &state)
+{
+    return Json{{"service", service},
+                {"address", endpointToString(address)},
+                {"zone", zone},
+                {"version", "v1"},
+                {"concurrency", 2},
+                {"state", state},
+                {"warmup-left-ms", 0},
+                {"sequence", 1},
+                {"born", 1000}}
+        .dump();
+}
+
+std::string standinConfig(std::uint64_t version, const Endpoint &route, const std::string &service)
+{
+    const Json entry{{"name", "r-" + service},
+                     {"host", addressToString(route.address)},
+                     {"prefix", fmt::format("/{}/", route.port)},
+                     {"type", "idempotent"},
+                     {"timeout-ms", 1500},
+                     {"priority", 2},
+                     {"service", service}};
+    return Json{{"version", version}, {"routes", Json::array({entry})}, {"services", Json::array()}, {"limits", {{"idle-timeout-ms", 15000}}}}.dump();
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/standin/store.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "base/endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace medlarway
+{
+
+/// How a stand-in store treats calls.
+enum class StoreFault : std::uint8_t {
+    None,
+    Busy, ///< 503
+    TooMany, ///< 429
+    Silent, ///< takes calls and never answers, those that wait already included
+    Resets, ///< resets each connection that calls
+};
+
+/// A stand-in for the platform's store, for tests and the quickstart: items with revisions, pages, held watches and faults.
+/// Runs on the caller's context and thread.
+class StandinStore
+{
+public:
+    explicit StandinStore(boost::asio::io_context &context, const Endpoint &listen = {0x7f000001, 0});
+    ~StandinStore();
+    StandinStore(const StandinStore &) = delete;
+    StandinStore &operator=(const StandinStore &) = delete;
+
+    Endpoint address() const;
+
+    /// Writes an item; gives the revision.
+    std::uint64_t put(const std::string &key, const std::string &value);
+
+    /// Removes an item; gives the revision.
+    std::uint64_t remove(const std::string &key);
+
+    void setFault(StoreFault fault);
+
+    /// What was changed so far can no longer be watched from.
+    void dropHistory();
+
+    /// Items on one page of a range.
+    void setPageItems(std::size_t items);
+
+    /// Calls taken, refused ones included.
+    std::size_t calls() const;
+
+    /// Ranges and watches that are held now, for a test that waits for a reader.
+    std::size_t heldWatches() const;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+/// The store's text of an upstream's entry. The id goes into the key, "servers/ID".
+std::string standinUpstreamEntry(const std::string &service, const Endpoint &address, const std::string &zone,
+                                 const std::string &state = "ready");
+
+/// The store's text of a configuration with one route to one service.
+std::string standinConfig(std::uint64_t version, const Endpoint &route, const std::string &service);
+
+} // namespace medlarway
--- /dev/null
+++ b/tests/platform/packet_layout_test.cpp
@@ -0,0 +1,87 @@
+#include "platform/packet_layout.h"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace medlarway;
+
+namespace
+{
+
+// The opening packet of 100.64.0.7:40001 to 198.18.0.1:443, as the platform's pages show it.
+std::vector<std::uint8_t> openingPacket()
+{
+    return {0x00, 0x00, 0x00, 0x00, 0xa1, 0xb2, 0xc3, 0xd5, 0x9c, 0x41, 0xc6, 0x12, 0x00, 0x01, 0x64, 0x40, 0x00, 0x07,
+            0x01, 0xbb, 0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0x00, 0x00, 0x00, 0x00, 0x00};
+}
+
+constexpr std::size_t kFlagsAt = 30;
+
+} // namespace
+
+TEST_CASE("a client's datagram")
+{
+    auto bytes = openingPacket();
+
+    SUBCASE("is decoded as the platform's example says")
+    {
+        FlowPacket expected;
+        expected.flow = {{0x64400007, 40001}, {0xc6120001, 443}};
+        expected.sequence = 0x11223344;
+        expected.opens = true;
+        CHECK(decodePacket(bytes) == expected);
+    }
+    SUBCASE("carries data, an end or a reset")
+    {
+        bytes[kFlagsAt] = 16 | 64;
+        bytes[29] = 3;
+        bytes.insert(bytes.end(), {1, 2, 3});
+        REQUIRE(decodePacket(bytes));
+        CHECK(decodePacket(bytes)->dataBytes == 3);
+        CHECK(decodePacket(bytes)->finishes);
+        CHECK_FALSE(decodePacket(bytes)->opens);
+        bytes[kFlagsAt] = 32;
+        CHECK(decodePacket(bytes)->resets);
+    }
+    SUBCASE("is refused where its length is not what it says")
+    {
+        bytes.push_back(0);
+        CHECK_FALSE(decodePacket(bytes));
+        bytes.resize(kPacketHeaderBytes - 1);
+        CHECK_FALSE(decodePacket(bytes));
+        CHECK_FALSE(decodePacket({}));
+    }
+    SUBCASE("is refused where only an upstream sends such a packet")
+    {
+        bytes[kFlagsAt] = 2 | 16;
+        CHECK_FALSE(decodePacket(bytes));
+    }
+    SUBCASE("takes a token and nothing else changes")
+    {
+        const auto before = bytes;
+        writeToken(bytes, 0x01020304);
+        CHECK(decodePacket(bytes)->token == 0x01020304);
+        CHECK(std::vector<std::uint8_t>(bytes.begin() + 4, bytes.end()) == std::vector<std::uint8_t>(before.begin() + 4, before.end()));
+    }
+    SUBCASE("is answered by a reset as the platform's example says")
+    {
+        const PacketHeader expected{0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x01, 0xbb, 0x64, 0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01,
+                                    0x9c, 0x41, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x20, 0x00, 0x00, 0x00, 0x00, 0x00};
+        CHECK(resetFor(*decodePacket(bytes)) == expected);
+    }
+    SUBCASE("of an open flow is answered by a reset within what the client takes")
+    {
+        FlowPacket packet = *decodePacket(bytes);
+        packet.opens = false;
+        packet.acknowledged = 0x01020304;
+        const auto reset = resetFor(packet);
+        CHECK(std::vector<std::uint8_t>(reset.begin() + 20, reset.begin() + 24) == std::vector<std::uint8_t>{1, 2, 3, 4});
+    }
+}
+
+TEST_CASE("the recipient of a packet is the number in the upstream's id")
+{
+    UpstreamEntry upstream;
+    upstream.number = 0x7f3a91c2;
+    CHECK(recipientPrefix(upstream) == std::array<std::uint8_t, kRecipientBytes>{0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2});
+}
--- /dev/null
+++ b/tests/platform/store_values_test.cpp
@@ -0,0 +1,151 @@
+#include "platform/store_values.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace medlarway;
+using Json = nlohmann::json;
+
+namespace
+{
+
+Json goodEntry()
+{
+    return {{"service", "huvo11a"}, {"address", "10.128.0.9:8080"}, {"zone", "z1"}, {"version", "v1"}, {"concurrency", 2},
+            {"state", "ready"}, {"warmup-left-ms", 1500}, {"sequence", 4}, {"born", 1790000000000}};
+}
+
+Json goodConfig()
+{
+    return Json::parse(R"({"version":7,"routes":[
+        {"name":"r-1","host":"198.18.0.1","prefix":"/8443/","type":"idempotent","timeout-ms":1500,"target-latency-ms":150,"priority":2,
+         "backends":[{"service":"one","weight":90},{"service":"two","weight":0}],"attempts":2},
+        {"name":"r-2","host":"198.18.0.2","prefix":"/80/","type":"non_idempotent","timeout-ms":2000,"priority":1,"service":"two"}],
+        "services":[],"limits":{"idle-timeout-ms":15000}})");
+}
+
+} // namespace
+
+TEST_CASE("an upstream's entry")
+{
+    auto entry = goodEntry();
+
+    SUBCASE("is read whole")
+    {
+        const auto upstream = decodeUpstream("i-7f3a91c2", entry.dump(), 12);
+        REQUIRE(upstream);
+        CHECK(upstream->number == 0x7f3a91c2);
+        CHECK(upstream->address == Endpoint{0x0a800009, 8080});
+        CHECK(upstream->slots == 2);
+        CHECK(upstream->warmUpLeft == Duration{std::chrono::milliseconds{1500}});
+        CHECK(upstream->born == 1790000000000);
+        CHECK(upstream->revision == 12);
+        CHECK_FALSE(upstream->draining);
+    }
+    SUBCASE("that drains says so")
+    {
+        entry["state"] = "draining";
+        CHECK(decodeUpstream("i-1", entry.dump(), 1)->draining);
+    }
+    SUBCASE("with fields that are not known is read")
+    {
+        entry["colour"] = "blue";
+        CHECK(decodeUpstream("i-1", entry.dump(), 1));
+    }
+    SUBCASE("without one of its fields names no upstream")
+    {
+        for (const auto *key : {"service", "address", "zone", "concurrency", "state", "warmup-left-ms", "sequence"}) {
+            CAPTURE(key);
+            auto lacking = entry;
+            lacking.erase(key);
+            CHECK_FALSE(decodeUpstream("i-1", lacking.dump(), 1));
+        }
+    }
+    SUBCASE("with a field of another type or an unknown state names no upstream")
+    {
+        const std::vector<std::pair<const char *, Json>> wrong{
+            {"service", 5},       {"address", "10.1.1.1"}, {"address", "x:80"},  {"state", "asleep"}, {"state", 1},
+            {"concurrency", "2"}, {"concurrency", -1},     {"born", "yesterday"}, {"born", 1.5},      {"sequence", Json::array()},
+            {"zone", nullptr},    {"warmup-left-ms", -5},
+        };
+        for (const auto &[key, value] : wrong) {
+            CAPTURE(key);
+            auto bad = entry;
+            bad[key] = value;
+            CHECK_FALSE(decodeUpstream("i-1", bad.dump(), 1));
+        }
+    }
+    SUBCASE("of bytes that can't be read names no upstream")
+    {
+        for (const auto *text : {"", "{", "[]", "null", "\xff\xfe"}) {
+            CHECK_FALSE(decodeUpstream("i-1", text, 1));
+        }
+    }
+    SUBCASE("under an id without a number names no upstream")
+    {
+        for (const auto *id : {"", "i-", "i-xyz", "i-0", "i-11112222333344445"}) {
+            CHECK_FALSE(decodeUpstream(id, entry.dump(), 1));
+        }
+    }
+}
+
+TEST_CASE("the operator's configuration")
+{
+    auto config = goodConfig();
+
+    SUBCASE("is read with its routes and limits")
+    {
+        const auto read = decodeConfig(config.dump());
+        REQUIRE(read);
+        CHECK(read->version == 7);
+        REQUIRE(read->routes.size() == 2);
+        CHECK(read->routes[0].address == Endpoint{0xc6120001, 8443});
+        CHECK(read->routes[0].targets == std::vector<RouteTarget>{{"one", 90}});
+        CHECK(read->routes[0].kind == RouteKind::Idempotent);
+        CHECK(read->routes[1].targets == std::vector<RouteTarget>{{"two", 1}});
+        CHECK(read->routes[1].kind == RouteKind::NonIdempotent);
+        CHECK(read->idleTimeout == Duration{std::chrono::seconds{15}});
+    }
+    SUBCASE("takes what may not be known to be repeatable as not repeatable")
+    {
+        config["routes"][0]["type"] = "novel";
+        CHECK(decodeConfig(config.dump())->routes[0].kind == RouteKind::NonIdempotent);
+    }
+    SUBCASE("is refused whole where a route can't be read")
+    {
+        config["routes"][1]["prefix"] = "80";
+        CHECK_FALSE(decodeConfig(config.dump()));
+        CHECK_FALSE(decodeConfig("{}"));
+        CHECK_FALSE(decodeConfig(""));
+    }
+}
+
+TEST_CASE("an answer of the store")
+{
+    SUBCASE("holds items with their values, and what was removed")
+    {
+        const auto answer = decodeStoreAnswer(
+            R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,"create-rev":412,"lease":0},{"key":"b","revision":413,"deleted":true}],"as-of":413})");
+        REQUIRE(answer);
+        CHECK(answer->asOf == 413);
+        CHECK(answer->items == std::vector<StoreItem>{{"a", "node-1", 412, false}, {"b", "", 413, true}});
+    }
+    SUBCASE("says whether there is more")
+    {
+        CHECK(decodeStoreAnswer(R"({"items":[],"has-more":true,"as-of":5})")->hasMore);
+        CHECK_FALSE(decodeStoreAnswer(R"({"items":[],"as-of":5})")->hasMore);
+    }
+    SUBCASE("keeps the key of a value that is no base64, as it names an entry that can't be used")
+    {
+        const auto answer = decodeStoreAnswer(R"({"items":[{"key":"a","value":"%%%","revision":1}],"as-of":5})");
+        REQUIRE(answer);
+        CHECK(answer->items == std::vector<StoreItem>{{"a", "", 1, false}});
+    }
+    SUBCASE("is refused where it is cut or lacks its revision")
+    {
+        for (const auto *text : {"", "{", R"({"items":[]})", R"({"as-of":5})", R"({"items":[{"key":"a"}],"as-of":5})", R"({"items":{},"as-of":-1})"}) {
+            CAPTURE(text);
+            CHECK_FALSE(decodeStoreAnswer(text));
+        }
+    }
+}
