steering, entry: flows of an upstream that can't be reached are reset

Ruled out: resetting on stalled flows alone, as slow work and a pause of this host stall flows of upstreams that live. Change: where three flows of an upstream stall and none answers for 250 ms, two connections are tried; if neither is made, its open flows are reset at once, idle ones too, and so are later packets until a client shows an answer. Another zone is suspected as a whole where flows of two of its upstreams stall and none answers.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -66,6 +66,7 @@
     , steering_(steeringOptions(settings))
     , packets_(context_, settings.packets, [this](auto datagrams, auto &outgoing) { onBatch(datagrams, outgoing); })
     , feed_(context_, feedOptions(settings), feedSink())
+    , prober_(context_)
     , readyServer_(context_, settings.ready, [this](const std::string &target) { return answerReady(target); })
     , controlServer_(context_, settings.control, [this](const std::string &target) { return answerControl(target); })
 {
@@ -98,7 +99,7 @@
     for (const auto datagram : datagrams) {
         onDatagram(datagram, outgoing, now);
     }
-    logNews();
+    takeNews();
 }
 
 void EntryHost::onDatagram(std::span<std::uint8_t> datagram, std::vector<OutgoingPacket> &outgoing, Time now)
@@ -125,7 +126,7 @@
     const auto now = monotonicNow();
     updateCertainty();
     steering_.tick(now);
-    logNews();
+    takeNews();
     if (stopping_ && mayEnd(now)) {
         context_.stop();
         return;
@@ -143,7 +144,7 @@
     steering_.setCertainUntil(upstreamsRead_ ? feed_.heardAt() + kCertainty : Time{});
 }
 
-void EntryHost::logNews()
+void EntryHost::takeNews()
 {
     for (const auto &news : steering_.takeNews()) {
         const auto &upstream = steering_.directory().at(news.upstream);
@@ -151,7 +152,39 @@
                  {field("upstream", upstream.entry.id), field("zone", upstream.entry.zone.name), field("flows", upstream.flows),
                   field("running", upstream.running), field("stalled", upstream.life.stalledFlows),
                   field("entry-revision", upstream.entry.revision)});
+        if (news.suspected) {
+            probe(news.upstream);
+        }
+    }
+}
+
+// Flows that stall may also be slow work or this host's own pause. Only where no connection can be made is the
+// upstream taken as gone.
+void EntryHost::probe(UpstreamIndex index)
+{
+    const auto entry = steering_.directory().at(index).entry;
+    prober_.probe(entry.address, [this, index, id = entry.id, born = entry.born](bool reachable) {
+        const auto &upstream = steering_.directory().at(index);
+        if (!reachable && upstream.entry.id == id && upstream.entry.born == born) {
+            giveUp(index);
+        }
+    });
+}
+
+void EntryHost::giveUp(UpstreamIndex index)
+{
+    const auto flows = steering_.giveUp(index);
+    std::vector<PacketHeader> resets;
+    resets.reserve(flows.size());
+    std::vector<OutgoingPacket> outgoing;
+    for (const auto &given : flows) {
+        resets.push_back(resetOf(given.flow, given.acknowledged));
+        outgoing.push_back({Endpoint{given.flow.client.address, settings_.packets.port}, {}, 0, resets.back()});
     }
+    packets_.send(outgoing);
+    const auto &upstream = steering_.directory().at(index);
+    logEvent(Event::UpstreamUnreachable, {field("upstream", upstream.entry.id), field("zone", upstream.entry.zone.name),
+                                          field("flows-reset", flows.size()), field("entry-revision", upstream.entry.revision)});
 }
 
 StoreFeedSink EntryHost::feedSink()
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/packet_socket.h"
+#include "entry/upstream_probe.h"
 #include "pages/page_server.h"
 #include "platform/packet_layout.h"
 #include "platform/store_feed.h"
@@ -40,7 +41,9 @@
     void takeConfig(const RouteConfig &config);
     void takeGone(const std::string &id, std::uint64_t revision);
     void updateCertainty();
-    void logNews();
+    void takeNews();
+    void probe(UpstreamIndex index);
+    void giveUp(UpstreamIndex index);
     StoreFeedSink feedSink();
     OperatorAnswer answerReady(const std::string &target) const;
     OperatorAnswer answerControl(const std::string &target) const;
@@ -53,6 +56,7 @@
     FlowSteering steering_;
     PacketSocket packets_;
     StoreFeed feed_;
+    UpstreamProber prober_;
     PageServer readyServer_;
     PageServer controlServer_;
     std::vector<PacketHeader> resets_; ///< of the batch that is being handled
--- a/src/entry/packet_socket.cpp
+++ b/src/entry/packet_socket.cpp
@@ -78,7 +78,7 @@
         }
         outgoing_.clear();
         handler_(std::span(datagrams_).first(received), outgoing_);
-        sendAll();
+        send(outgoing_);
         if (received < kBatch) {
             return;
         }
@@ -107,16 +107,16 @@
 }
 
 // A datagram that the kernel does not take is lost, as on any network; both ends send again.
-void PacketSocket::sendAll()
+void PacketSocket::send(std::vector<OutgoingPacket> &outgoing)
 {
     std::array<mmsghdr, kBatch> messages{};
     std::array<std::array<iovec, 2>, kBatch> pieces{};
     std::array<sockaddr_in, kBatch> addresses{};
     std::size_t next = 0;
-    while (next < outgoing_.size()) {
-        const auto count = std::min(kBatch, outgoing_.size() - next);
+    while (next < outgoing.size()) {
+        const auto count = std::min(kBatch, outgoing.size() - next);
         for (std::size_t row = 0; row < count; ++row) {
-            auto &packet = outgoing_[next + row];
+            auto &packet = outgoing[next + row];
             addresses.at(row) = toSocketAddress(packet.to);
             auto &piece = pieces.at(row);
             std::size_t used = 0;
--- a/src/entry/packet_socket.h
+++ b/src/entry/packet_socket.h
@@ -44,6 +44,9 @@
     /// Begins to receive.
     void start();
 
+    /// Sends outside of a batch.
+    void send(std::vector<OutgoingPacket> &outgoing);
+
     const PacketSocketCounts &counts() const
     {
         return counts_;
@@ -56,7 +59,6 @@
     void awaitReadable();
     void receiveAll();
     std::size_t receiveBatch();
-    void sendAll();
 
     Handler handler_;
     boost::asio::ip::udp::socket socket_;
--- /dev/null
+++ b/src/entry/upstream_probe.cpp
@@ -0,0 +1,43 @@
+#include "entry/upstream_probe.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <utility>
+
+namespace medlarway
+{
+
+namespace
+{
+
+constexpr int kTries = 2; // one opening packet may be lost
+
+} // namespace
+
+UpstreamProber::UpstreamProber(boost::asio::io_context &context)
+    : context_(context)
+{
+}
+
+void UpstreamProber::probe(const Endpoint &address, Done done)
+{
+    boost::asio::co_spawn(context_, run(address, std::move(done)), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> UpstreamProber::run(Endpoint address, Done done)
+{
+    const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::address_v4(address.address), address.port);
+    bool reachable = false;
+    for (int attempt = 0; attempt < kTries && !reachable; ++attempt) {
+        boost::beast::tcp_stream stream(context_);
+        stream.expires_after(kProbeTimeout);
+        const auto [error] = co_await stream.async_connect(endpoint, boost::asio::as_tuple(boost::asio::use_awaitable));
+        reachable = !error;
+    }
+    done(reachable);
+}
+
+} // namespace medlarway
--- a/src/platform/packet_layout.cpp
+++ b/src/platform/packet_layout.cpp
@@ -74,15 +74,20 @@
     return prefix;
 }
 
-// It comes from the route's address, carries no sum, and a sequence that the client takes: what it acknowledged last.
 PacketHeader resetFor(const FlowPacket &packet)
+{
+    return resetOf(packet.flow, packet.opens ? 0 : packet.acknowledged);
+}
+
+// It comes from the route's address and carries no sum.
+PacketHeader resetOf(const FlowId &flow, std::uint32_t acknowledged)
 {
     PacketHeader header{};
-    boost::endian::store_big_u16(header.data() + kSourcePortAt, packet.flow.destination.port);
-    boost::endian::store_big_u32(header.data() + kSourceAt, packet.flow.destination.address);
-    boost::endian::store_big_u32(header.data() + kDestinationAt, packet.flow.client.address);
-    boost::endian::store_big_u16(header.data() + kDestinationPortAt, packet.flow.client.port);
-    boost::endian::store_big_u32(header.data() + kSequenceAt, packet.opens ? 0 : packet.acknowledged);
+    boost::endian::store_big_u16(header.data() + kSourcePortAt, flow.destination.port);
+    boost::endian::store_big_u32(header.data() + kSourceAt, flow.destination.address);
+    boost::endian::store_big_u32(header.data() + kDestinationAt, flow.client.address);
+    boost::endian::store_big_u16(header.data() + kDestinationPortAt, flow.client.port);
+    boost::endian::store_big_u32(header.data() + kSequenceAt, acknowledged);
     header[kFlagsAt] = kFlagRst;
     return header;
 }
--- a/src/platform/packet_layout.h
+++ b/src/platform/packet_layout.h
@@ -38,4 +38,7 @@
 /// The reset that answers a client's packet.
 PacketHeader resetFor(const FlowPacket &packet);
 
+/// The reset of an open flow; the client takes it near what it acknowledged last.
+PacketHeader resetOf(const FlowId &flow, std::uint32_t acknowledged);
+
 } // namespace medlarway
--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -2,6 +2,7 @@
 
 #include "steering/life_signs.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace medlarway
@@ -22,6 +23,9 @@
 // retransmissions (1.6 s).
 constexpr Duration kShortLife = std::chrono::seconds{3};
 
+// Upstreams of a zone that must have stalled flows before the whole zone is suspected.
+constexpr std::ptrdiff_t kStalledUpstreamsToSuspectZone = 2;
+
 // Added to the idle timeout, so that the ends, which may discard the flow then, do so before this host.
 constexpr Duration kIdleMargin = std::chrono::seconds{1};
 
@@ -141,10 +145,8 @@
     noteClient(flow, packet, now);
     const auto upstream = flow.upstream;
     const auto &target = directory_.at(upstream);
-    // Step 3. An upstream whose address another one has is gone for certain, and the flow with it. One that is
-    // merely no longer listed may live: only a flow that gets no answer is given up.
-    const bool ended = target.presence == Presence::Replaced || (target.presence == Presence::Gone && flow.stalled);
-    if (ended && !packet.resets) {
+    // Step 3. A flow whose upstream has ended is given up, so that the client need not wait for its deadline.
+    if (!packet.resets && hasEnded(target, flow)) {
         forget(packet.flow);
         return {SteeringAction::Reset, SteeringReason::UpstreamEnded, upstream};
     }
@@ -154,6 +156,13 @@
     return {SteeringAction::Forward, SteeringReason::Carried, upstream};
 }
 
+// An upstream whose address another one has is gone for certain. One that is merely no longer listed may live: only a
+// flow that gets no answer is given up.
+bool FlowSteering::hasEnded(const KnownUpstream &upstream, const SteeredFlow &flow) const
+{
+    return upstream.presence == Presence::Replaced || upstream.life.unreachable || (upstream.presence == Presence::Gone && flow.stalled);
+}
+
 SteeringStep FlowSteering::carryUnknown(const FlowPacket &packet, Time now)
 {
     if (packet.token == 0) {
@@ -167,7 +176,7 @@
     if (!routes_.everAllowed(packet.flow.destination, target.entry.service)) {
         return {SteeringAction::Drop, SteeringReason::ForeignToken, upstream};
     }
-    if (target.presence == Presence::Replaced && !packet.resets) {
+    if ((target.presence == Presence::Replaced || target.life.unreachable) && !packet.resets) {
         return {SteeringAction::Reset, SteeringReason::UpstreamEnded, upstream};
     }
     if (packet.resets || packet.finishes) {
@@ -258,17 +267,63 @@
 {
     endRun(flow);
     flow.stalled = false;
-    if (noteProgress(directory_.at(flow.upstream).life, now)) {
+    auto &upstream = directory_.at(flow.upstream);
+    if (noteProgress(upstream.life, now)) {
         news_.push_back({flow.upstream, false});
     }
+    if (upstream.entry.zone != options_.zone) {
+        noteProgress(zones_[upstream.entry.zone.name], now);
+    }
 }
 
 void FlowSteering::stall(SteeredFlow &flow, Time now)
 {
     flow.stalled = true;
-    if (noteStall(directory_.at(flow.upstream).life, flow.stallCountedIn, now)) {
+    auto &upstream = directory_.at(flow.upstream);
+    if (noteStall(upstream.life, flow.stallCountedIn, now)) {
         news_.push_back({flow.upstream, true});
     }
+    if (upstream.entry.zone != options_.zone && noteStall(zones_[upstream.entry.zone.name], flow.zoneStallCountedIn, now)) {
+        suspectZone(upstream.entry.zone, now);
+    }
+}
+
+// Few flows of this host go to each upstream of another zone, too few to suspect each by itself when the zone is cut off.
+// Flows of one upstream alone say nothing of its zone.
+void FlowSteering::suspectZone(const AvailabilityZone &zone, Time now)
+{
+    const auto stalled = std::count_if(directory_.all().begin(), directory_.all().end(), [&zone](const KnownUpstream &upstream) {
+        return upstream.entry.zone == zone && upstream.life.stalledFlows > 0;
+    });
+    if (stalled < kStalledUpstreamsToSuspectZone) {
+        zones_[zone.name].suspectedAt.reset();
+        return;
+    }
+    for (UpstreamIndex index = 0; index < directory_.all().size(); ++index) {
+        auto &upstream = directory_.at(index);
+        if (!upstream.entry.id.empty() && upstream.entry.zone == zone && suspect(upstream.life, now)) {
+            news_.push_back({index, true});
+        }
+    }
+}
+
+std::vector<GivenUpFlow> FlowSteering::giveUp(UpstreamIndex upstream)
+{
+    std::vector<GivenUpFlow> flows;
+    auto &life = directory_.at(upstream).life;
+    if (!life.suspectedAt) {
+        return flows;
+    }
+    life.unreachable = true;
+    for (const auto &[id, flow] : flows_) {
+        if (flow.upstream == upstream && !flow.opening && !flow.closing) {
+            flows.push_back({id, flow.acknowledged});
+        }
+    }
+    for (const auto &given : flows) {
+        forget(given.flow);
+    }
+    return flows;
 }
 
 void FlowSteering::beginRun(SteeredFlow &flow, Time now)
@@ -307,6 +362,7 @@
     }
     flow.upstream = upstream;
     flow.stallCountedIn = 0;
+    flow.zoneStallCountedIn = 0;
     if (running) {
         beginRun(flow, flow.waitingSince);
     }
--- a/src/steering/flow_steering.h
+++ b/src/steering/flow_steering.h
@@ -39,7 +39,7 @@
     NoToken, ///< neither a token nor a known flow
     UnknownToken, ///< no upstream known here has the token
     ForeignToken, ///< the token's upstream is of a service that the route never had
-    UpstreamEnded, ///< the flow's upstream has ended, and the flow with it
+    UpstreamEnded, ///< the flow's upstream has ended or can't be reached, and the flow with it
     Count, ///< how many there are
 };
 
@@ -64,6 +64,7 @@
     std::uint32_t sentUpTo = 0; ///< the first byte that the client has not sent yet
     std::uint32_t acknowledged = 0;
     std::uint32_t stallCountedIn = 0; ///< see noteStall
+    std::uint32_t zoneStallCountedIn = 0; ///< the same for the upstream's zone
     float share = 0; ///< what it adds to its upstream's expected load
     Time heard;
     Time waitingSince; ///< when the unanswered opening or request was first sent
@@ -90,6 +91,14 @@
     friend bool operator==(const SteeringNews &, const SteeringNews &) = default;
 };
 
+/// A flow that is given up without a packet of its client, and what the client acknowledged last.
+struct GivenUpFlow {
+    FlowId flow;
+    std::uint32_t acknowledged = 0;
+
+    friend bool operator==(const GivenUpFlow &, const GivenUpFlow &) = default;
+};
+
 /// Decides where each packet of a client goes. Pure: packets and time come in, decisions go out. Not thread-safe.
 class FlowSteering
 {
@@ -108,6 +117,10 @@
         certainUntil_ = time;
     }
 
+    /// A suspected upstream could not be connected to: its flows have ended, and so do those that come until a client shows an
+    /// answer of it. Gives the flows to reset; none where it is no longer suspected.
+    std::vector<GivenUpFlow> giveUp(UpstreamIndex upstream);
+
     /// What was learnt since the last call.
     std::vector<SteeringNews> takeNews();
 
@@ -157,6 +170,8 @@
     void noteClient(SteeredFlow &flow, const FlowPacket &packet, Time now);
     void progress(SteeredFlow &flow, Time now);
     void stall(SteeredFlow &flow, Time now);
+    void suspectZone(const AvailabilityZone &zone, Time now);
+    bool hasEnded(const KnownUpstream &upstream, const SteeredFlow &flow) const;
     void beginRun(SteeredFlow &flow, Time now);
     void endRun(SteeredFlow &flow);
     void moveTo(SteeredFlow &flow, UpstreamIndex upstream);
@@ -170,6 +185,7 @@
     RouteTable routes_;
     UpstreamDirectory directory_;
     RouteUsages usages_;
+    boost::unordered_flat_map<std::string, LifeSigns> zones_; ///< signs of life of each other availability zone as a whole
     boost::unordered_flat_map<FlowId, SteeredFlow, FlowIdHash> flows_;
     std::array<std::uint64_t, static_cast<std::size_t>(SteeringReason::Count)> counts_{};
     std::vector<SteeringNews> news_;
--- a/src/steering/life_signs.cpp
+++ b/src/steering/life_signs.cpp
@@ -12,6 +12,7 @@
     life.stalledFlows = 0;
     ++life.generation;
     life.suspectedAt.reset();
+    life.unreachable = false;
     return suspected;
 }
 
@@ -25,6 +26,14 @@
     if (life.suspectedAt || life.stalledFlows < kStalledFlowsToSuspect || now - life.lastProgress < kSilenceToSuspect) {
         return false;
     }
+    return suspect(life, now);
+}
+
+bool suspect(LifeSigns &life, Time now)
+{
+    if (life.suspectedAt) {
+        return false;
+    }
     life.suspectedAt = now;
     life.lastTrial = now;
     life.trials = 0;
--- a/src/steering/life_signs.h
+++ b/src/steering/life_signs.h
@@ -25,6 +25,9 @@
 /// True where the upstream became suspected by it.
 bool noteStall(LifeSigns &life, std::uint32_t &countedIn, Time now);
 
+/// Something else makes the upstream suspected. False where it was already.
+bool suspect(LifeSigns &life, Time now);
+
 /// Whether a suspected upstream is due to be tried.
 bool dueForTrial(const LifeSigns &life, Time now);
 
--- a/tests/steering/flow_steering_test.cpp
+++ b/tests/steering/flow_steering_test.cpp
@@ -1,7 +1,9 @@
 #include "steering/life_signs.h"
 #include "steering_fixture.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 using namespace medlarway;
 using namespace medlarway::steering_test;
@@ -228,6 +230,103 @@
     }
 }
 
+TEST_CASE("an upstream that can't be connected to")
+{
+    auto steering = makeSteering();
+    auto &directory = steering.directory();
+    directory.apply(entryOf("i-1", 1), at(0s));
+    std::vector<Client> clients;
+    for (std::uint16_t port = 1; port <= 4; ++port) {
+        clients.emplace_back(port);
+        steering.onPacket(clients.back().open(), at(0s));
+        steering.onPacket(clients.back().acknowledge(tokenOf("i-1")), at(10ms));
+        steering.onPacket(clients.back().request(), at(20ms));
+    }
+
+    SUBCASE("loses no flow while clients show answers")
+    {
+        CHECK(steering.giveUp(0).empty());
+        CHECK(steering.onPacket(clients[0].again(), at(300ms)).action == SteeringAction::Forward);
+    }
+    SUBCASE("loses every open flow once it is suspected, those without a request too")
+    {
+        steering.onPacket(clients[3].takeAnswer(), at(30ms));
+        Client opening(60);
+        steering.onPacket(opening.open(), at(200ms));
+        for (std::size_t row = 0; row < 3; ++row) {
+            steering.onPacket(clients[row].again(), at(300ms));
+        }
+        REQUIRE(directory.at(0).life.suspectedAt);
+        const auto flows = steering.giveUp(0);
+        CHECK(flows.size() == 4);
+        CHECK(steering.findFlow(opening.flow()) != nullptr);
+        CHECK(directory.at(0).running == 0);
+
+        SUBCASE("and their next packets are reset, as the first reset may be lost")
+        {
+            CHECK(steering.onPacket(clients[0].again(), at(600ms)) == SteeringStep{SteeringAction::Reset, SteeringReason::UpstreamEnded, 0});
+        }
+        SUBCASE("until a client shows an answer to a trial")
+        {
+            steering.onPacket(opening.acknowledge(tokenOf("i-1")), at(2s));
+            CHECK(steering.onPacket(opening.request(), at(2s)).action == SteeringAction::Forward);
+            CHECK(steering.onPacket(Client(61).open(), at(2s)).upstream == 0);
+        }
+    }
+}
+
+TEST_CASE("another availability zone")
+{
+    auto steering = makeSteering();
+    auto &directory = steering.directory();
+    for (std::uint32_t row = 1; row <= 3; ++row) {
+        directory.apply(entryOf(fmt::format("i-{}", row), row, "registry", "b"), at(0s));
+    }
+    // One flow to each upstream, known by their tokens.
+    std::vector<Client> clients;
+    const auto openFlow = [&](std::uint16_t port, const std::string &id) {
+        clients.emplace_back(port);
+        clients.back().acknowledge(tokenOf(id));
+        steering.onPacket(clients.back().request(), at(0s));
+    };
+    const auto suspected = [&] {
+        return std::count_if(directory.all().begin(), directory.all().end(), [](const auto &row) { return row.life.suspectedAt.has_value(); });
+    };
+
+    SUBCASE("is suspected as a whole where single flows of several upstreams stall")
+    {
+        openFlow(1, "i-1");
+        openFlow(2, "i-2");
+        openFlow(3, "i-2");
+        for (const auto &client : clients) {
+            steering.onPacket(client.again(), at(300ms));
+        }
+        CHECK(suspected() == 3);
+        CHECK(steering.takeNews().size() == 3);
+    }
+    SUBCASE("is not where one upstream alone stalls")
+    {
+        for (std::uint16_t port = 1; port <= 4; ++port) {
+            openFlow(port, "i-1");
+        }
+        for (const auto &client : clients) {
+            steering.onPacket(client.again(), at(300ms));
+        }
+        CHECK(suspected() == 1);
+    }
+    SUBCASE("is not where one of its upstreams answers")
+    {
+        openFlow(1, "i-1");
+        openFlow(2, "i-2");
+        openFlow(3, "i-3");
+        steering.onPacket(clients[0].again(), at(200ms));
+        steering.onPacket(clients[1].again(), at(220ms));
+        steering.onPacket(clients[2].takeAnswer(), at(280ms));
+        steering.onPacket(clients[0].again(), at(600ms));
+        CHECK(suspected() == 0);
+    }
+}
+
 TEST_CASE("the load of an upstream")
 {
     auto steering = makeSteering();
