--- /dev/null
+++ b/fuzz/packet_layout_fuzz.cpp
@@ -0,0 +1,32 @@
+// Any datagram may come from the network: it is refused, or what it says of itself is so, and a token changes nothing else.
+#include "platform/packet_layout.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <vector>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    using namespace medlarway;
+    const auto packet = decodePacket({data, size});
+    if (!packet) {
+        return 0;
+    }
+    if (size != kPacketHeaderBytes + packet->dataBytes) {
+        std::abort();
+    }
+    std::vector<std::uint8_t> copy(data, data + size);
+    writeToken(copy, 0x01020304);
+    auto expected = *packet;
+    expected.token = 0x01020304;
+    if (decodePacket(copy) != expected) {
+        std::abort();
+    }
+    // A reset goes the way back.
+    const auto reset = decodePacket(resetFor(*packet));
+    if (!reset || !reset->resets || reset->flow.client != packet->flow.destination || reset->flow.destination != packet->flow.client) {
+        std::abort();
+    }
+    return 0;
+}
--- a/src/ctl/check_settings_command.cpp
+++ b/src/ctl/check_settings_command.cpp
@@ -1,6 +1,7 @@
 #include "base/errors.h"
 #include "ctl/arguments.h"
 #include "ctl/command.h"
+#include "settings/entry_settings.h"
 #include "settings/settings_file.h"
 
 #include <fmt/format.h>
@@ -15,7 +16,12 @@
         return kExitUsage;
     }
     try {
-        loadSettings(parsed->positional[0]);
+        const auto &file = parsed->positional[0];
+        if (isEntryFile(file)) {
+            loadEntrySettings(file);
+        } else {
+            loadSettings(file);
+        }
     } catch (const Error &error) {
         fmt::print(stderr, "{}\n", error.what());
         return kExitFailed;
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -26,6 +26,7 @@
 
 int runCheckSettings(const std::vector<std::string> &arguments);
 int runCheckCatalogue(const std::vector<std::string> &arguments);
+int runFlows(const std::vector<std::string> &arguments);
 int runState(const std::vector<std::string> &arguments);
 int runCounters(const std::vector<std::string> &arguments);
 int runExplain(const std::vector<std::string> &arguments);
--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -11,6 +11,7 @@
 constexpr std::array kCommands{
     Command{"check-settings", "FILE", "reads a settings file and lists every fault in it", runCheckSettings},
     Command{"check-catalogue", "FILE", "reads a catalogue file and lists every fault in it", runCheckCatalogue},
+    Command{"flows", "ADDRESS", "lists the flows that an entry host remembers", runFlows},
     Command{"state", "ADDRESS [--json]", "shows what a running daemon does and knows", runState},
     Command{"counters", "ADDRESS", "shows a running daemon's counters", runCounters},
     Command{"explain", "ADDRESS --service NAME --path PATH --caller IP", "says which upstream a request would get, and why", runExplain},
--- a/src/ctl/version_command.cpp
+++ b/src/ctl/version_command.cpp
@@ -1,6 +1,6 @@
+#include "base/version.h"
 #include "ctl/arguments.h"
 #include "ctl/command.h"
-#include "base/version.h"
 
 #include <fmt/format.h>
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,5 @@
-#include "daemon/daemon.h"
 #include "base/version.h"
+#include "daemon/daemon.h"
 #include "entry/entry_host.h"
 
 #include <absl/flags/flag.h>
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -3,6 +3,7 @@
 #include "base/errors.h"
 #include "base/version.h"
 #include "entry/entry_pages.h"
+#include "peering/codec.h"
 #include "yaml/fault.h"
 
 #include <algorithm>
@@ -18,6 +19,7 @@
 {
 
 constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusNoContent = 204;
 constexpr unsigned kStatusNotFound = 404;
 constexpr unsigned kStatusUnavailable = 503;
 
@@ -34,6 +36,9 @@
 // is held that has not been given up yet.
 constexpr Duration kCertainty = StoreFeedOptions{}.wait + StoreFeedOptions{}.answerTimeout;
 
+// Flows on one page for operators.
+constexpr std::size_t kMostFlowsShown = 1000;
+
 Time monotonicNow()
 {
     return std::chrono::steady_clock::now();
@@ -67,6 +72,8 @@
     , packets_(context_, settings.packets, [this](auto datagrams, auto &outgoing) { onBatch(datagrams, outgoing); })
     , feed_(context_, feedOptions(settings), feedSink())
     , prober_(context_)
+    , peerHosts_(settings.control, combineHash(settings.control.address, settings.control.port))
+    , peerSnapshots_(context_, settings.control, peerHosts_, snapshotPorts())
     , readyServer_(context_, settings.ready, [this](const std::string &target) { return answerReady(target); })
     , controlServer_(context_, settings.control, [this](const std::string &target) { return answerControl(target); })
 {
@@ -74,15 +81,16 @@
 
 void EntryHost::run()
 {
+    peerHosts_.setSeeds(settings_.seeds);
     feed_.start();
+    peerSnapshots_.start();
     packets_.start();
     readyServer_.start();
     controlServer_.start();
     awaitSignal();
     onTick();
-    logEvent(Event::Started,
-             {field("version", kVersion), field("host", settings_.name), field("zone", settings_.zone.name),
-              field("packets", endpointToString(settings_.packets)), field("store", endpointToString(settings_.store))});
+    logEvent(Event::Started, {field("version", kVersion), field("host", settings_.name), field("zone", settings_.zone.name),
+                              field("packets", endpointToString(settings_.packets)), field("store", endpointToString(settings_.store))});
     context_.run();
     logEvent(Event::Stopped, {field("packets", packets_.counts().received), field("flows", steering_.flowCount())});
 }
@@ -141,7 +149,7 @@
 
 void EntryHost::updateCertainty()
 {
-    steering_.setCertainUntil(upstreamsRead_ ? feed_.heardAt() + kCertainty : Time{});
+    steering_.setCertainUntil(feed_.heardAt() == Time{} ? Time{} : feed_.heardAt() + kCertainty);
 }
 
 void EntryHost::takeNews()
@@ -205,7 +213,8 @@
 {
     const auto before = steering_.routes().version();
     if (steering_.routes().apply(config)) {
-        logEvent(Event::CatalogueAccepted, {field("version", config.version), field("before", before), field("routes", config.routes.size())});
+        logEvent(Event::CatalogueAccepted,
+                 {field("version", config.version), field("before", before), field("routes", config.routes.size())});
     } else if (config.version < before) {
         logEvent(Event::CatalogueStale, {field("version", config.version), field("in-force", before)});
     }
@@ -223,6 +232,21 @@
     return !stopping_ && upstreamsRead_ && steering_.routes().version() > 0;
 }
 
+EntryStatus EntryHost::status() const
+{
+    EntryStatus status;
+    status.name = settings_.name;
+    status.zone = settings_.zone.name;
+    status.ready = ready();
+    status.stopping = stopping_;
+    status.storeAnswers = feed_.answered();
+    status.storeHeardAt = feed_.heardAt();
+    status.storeRevision = feed_.asOf();
+    status.knownRevision = knownRevision();
+    status.peers = peerHosts_.recent(monotonicNow());
+    return status;
+}
+
 OperatorAnswer EntryHost::answerReady(const std::string &target) const
 {
     if (target != "/v1/ready") {
@@ -232,15 +256,61 @@
                    : OperatorAnswer{kStatusUnavailable, "application/json", R"({"ready":false})"};
 }
 
-OperatorAnswer EntryHost::answerControl(const std::string &target) const
+OperatorAnswer EntryHost::answerControl(const std::string &target)
 {
-    if (target == "/metrics") {
+    if (const auto request = parseSnapshotTarget(target)) {
+        return answerSnapshot(*request);
+    }
+    if (target == "/metrics" || target == "/counters") {
         return {kStatusOk, "text/plain; version=0.0.4; charset=utf-8", entryMetrics(steering_, packets_.counts())};
     }
     if (target == "/state") {
-        return {kStatusOk, "application/json", entryState(steering_, monotonicNow())};
+        return {kStatusOk, "application/json", entryState(steering_, status(), monotonicNow())};
+    }
+    if (target == "/flows") {
+        return {kStatusOk, "application/json", entryFlows(steering_, kMostFlowsShown, monotonicNow())};
+    }
+    return {kStatusNotFound, "text/plain; charset=utf-8", "there are /state, /flows, /metrics (also /counters) and /snapshot\n"};
+}
+
+PeerSnapshots::Ports EntryHost::snapshotPorts()
+{
+    PeerSnapshots::Ports ports;
+    ports.wanted = [this] { return !feed_.answered(); };
+    ports.asOf = [this] { return knownRevision(); };
+    ports.take = [this](const SteeringSnapshot &snapshot, const Endpoint &from) { takePeerSnapshot(snapshot, from); };
+    return ports;
+}
+
+std::uint64_t EntryHost::knownRevision() const
+{
+    return std::max(feed_.asOf(), snapshotRevision_);
+}
+
+void EntryHost::takePeerSnapshot(const SteeringSnapshot &snapshot, const Endpoint &from)
+{
+    const bool changed = applySnapshot(steering_, snapshot, monotonicNow());
+    snapshotRevision_ = std::max(snapshotRevision_, snapshot.asOf);
+    upstreamsRead_ = true;
+    if (changed) {
+        logEvent(Event::PeerSnapshotTaken, {field("peer", endpointToString(from)), field("revision", snapshot.asOf),
+                                            field("version", snapshot.config.version), field("upstreams", snapshot.upstreams.size())});
+    }
+}
+
+// A host that knows nothing newer says so in a few bytes. What a peer's snapshot gave is passed on, as a whole zone may
+// be cut off from the platform but for one host's neighbours.
+OperatorAnswer EntryHost::answerSnapshot(const SnapshotRequest &request)
+{
+    if (request.from) {
+        peerHosts_.heardOf(*request.from, monotonicNow());
+    }
+    if (!upstreamsRead_ || steering_.routes().version() == 0 || knownRevision() <= request.after) {
+        return {kStatusNoContent, "application/cbor", ""};
     }
-    return {kStatusNotFound, "text/plain; charset=utf-8", "there are /metrics and /state\n"};
+    auto snapshot = takeSnapshot(steering_, knownRevision());
+    snapshot.hosts = peerHosts_.recent(monotonicNow());
+    return {kStatusOk, "application/cbor", encodeMessage(snapshot)};
 }
 
 void EntryHost::awaitSignal()
@@ -270,8 +340,10 @@
         settings_.logLevel = wanted.logLevel;
         settings_.grace = wanted.grace;
         settings_.seeds = wanted.seeds;
+        peerHosts_.setSeeds(settings_.seeds);
         setLogLevel(settings_.logLevel);
-        logEvent(Event::SettingsReloaded, {field("needs-restart", restart.empty() ? "nothing" : fmt::format("{}", fmt::join(restart, ",")))});
+        logEvent(Event::SettingsReloaded,
+                 {field("needs-restart", restart.empty() ? "nothing" : fmt::format("{}", fmt::join(restart, ",")))});
     } catch (const Error &error) {
         reportError(error.kind(), faultsOnOneLine(error.what()));
     }
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "entry/entry_pages.h"
 #include "entry/packet_socket.h"
+#include "entry/peer_hosts.h"
+#include "entry/peer_snapshots.h"
 #include "entry/upstream_probe.h"
 #include "pages/page_server.h"
 #include "platform/packet_layout.h"
@@ -45,8 +48,13 @@
     void probe(UpstreamIndex index);
     void giveUp(UpstreamIndex index);
     StoreFeedSink feedSink();
+    PeerSnapshots::Ports snapshotPorts();
+    void takePeerSnapshot(const SteeringSnapshot &snapshot, const Endpoint &from);
+    std::uint64_t knownRevision() const;
+    OperatorAnswer answerSnapshot(const SnapshotRequest &request);
+    EntryStatus status() const;
     OperatorAnswer answerReady(const std::string &target) const;
-    OperatorAnswer answerControl(const std::string &target) const;
+    OperatorAnswer answerControl(const std::string &target);
 
     std::string settingsFile_;
     EntrySettings settings_;
@@ -57,10 +65,13 @@
     PacketSocket packets_;
     StoreFeed feed_;
     UpstreamProber prober_;
+    PeerHosts peerHosts_;
+    PeerSnapshots peerSnapshots_;
     PageServer readyServer_;
     PageServer controlServer_;
     std::vector<PacketHeader> resets_; ///< of the batch that is being handled
-    bool upstreamsRead_ = false;
+    bool upstreamsRead_ = false; ///< from the platform or a peer
+    std::uint64_t snapshotRevision_ = 0; ///< of the newest snapshot that a peer gave
     bool stopping_ = false;
     Time stopAsked_;
     Time lastPacket_;
--- a/src/entry/entry_pages.cpp
+++ b/src/entry/entry_pages.cpp
@@ -29,6 +29,11 @@
     return std::chrono::duration<double>(now - then).count();
 }
 
+std::string toText(const nlohmann::json &value)
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
 nlohmann::json upstreamState(const KnownUpstream &upstream, Time now)
 {
     return {{"id", upstream.entry.id},
@@ -43,6 +48,7 @@
             {"running", upstream.running},
             {"expected", upstream.expected},
             {"suspected", upstream.life.suspectedAt.has_value()},
+            {"unreachable", upstream.life.unreachable},
             {"stalledFlows", upstream.life.stalledFlows},
             {"secondsSinceProgress", secondsSince(upstream.life.lastProgress, now)}};
 }
@@ -57,7 +63,8 @@
         text += fmt::format("medlarway_packets_total{{reason=\"{}\"}} {}\n", reasonName(static_cast<SteeringReason>(row)),
                             steering.counts().at(row));
     }
-    text += fmt::format("# HELP medlarway_flows flows remembered\n# TYPE medlarway_flows gauge\nmedlarway_flows {}\n", steering.flowCount());
+    text
+        += fmt::format("# HELP medlarway_flows flows remembered\n# TYPE medlarway_flows gauge\nmedlarway_flows {}\n", steering.flowCount());
     text += fmt::format("# HELP medlarway_packets_received_total datagrams received\n# TYPE medlarway_packets_received_total counter\n"
                         "medlarway_packets_received_total {}\n",
                         counts.received);
@@ -70,7 +77,7 @@
     return text;
 }
 
-std::string entryState(const FlowSteering &steering, Time now)
+std::string entryState(const FlowSteering &steering, const EntryStatus &status, Time now)
 {
     auto upstreams = nlohmann::json::array();
     for (const auto &upstream : steering.directory().all()) {
@@ -78,11 +85,45 @@
             upstreams.push_back(upstreamState(upstream, now));
         }
     }
-    const nlohmann::json state{{"configVersion", steering.routes().version()},
-                               {"routes", steering.routes().config().routes.size()},
-                               {"flows", steering.flowCount()},
-                               {"upstreams", std::move(upstreams)}};
-    return state.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    auto peers = nlohmann::json::array();
+    for (const auto &peer : status.peers) {
+        peers.push_back(endpointToString(peer));
+    }
+    const nlohmann::json state{
+        {"host", {{"name", status.name}, {"zone", status.zone}, {"ready", status.ready}, {"stopping", status.stopping}}},
+        {"platform",
+         {{"answers", status.storeAnswers},
+          {"secondsSinceAnswer",
+           status.storeHeardAt == Time{} ? nlohmann::json(nullptr) : nlohmann::json(secondsSince(status.storeHeardAt, now))},
+          {"readUpTo", status.storeRevision},
+          {"knownUpTo", status.knownRevision}}},
+        {"peers", std::move(peers)},
+        {"configVersion", steering.routes().version()},
+        {"routes", steering.routes().config().routes.size()},
+        {"flows", steering.flowCount()},
+        {"upstreams", std::move(upstreams)}};
+    return toText(state);
+}
+
+std::string entryFlows(const FlowSteering &steering, std::size_t most, Time now)
+{
+    auto flows = nlohmann::json::array();
+    for (const auto &[id, flow] : steering.flows()) {
+        if (flows.size() == most) {
+            break;
+        }
+        const auto &upstream = steering.directory().at(flow.upstream);
+        flows.push_back({{"client", endpointToString(id.client)},
+                         {"destination", endpointToString(id.destination)},
+                         {"upstream", upstream.entry.id},
+                         {"token", upstream.token},
+                         {"opening", flow.opening},
+                         {"running", flow.running},
+                         {"stalled", flow.stalled},
+                         {"closing", flow.closing},
+                         {"secondsSinceHeard", secondsSince(flow.heard, now)}});
+    }
+    return toText({{"remembered", steering.flowCount()}, {"shown", flows.size()}, {"flows", std::move(flows)}});
 }
 
 } // namespace medlarway
--- a/src/platform/store_connection.cpp
+++ b/src/pages/http_reader.cpp
@@ -1,6 +1,4 @@
-#include "platform/store_connection.h"
-
-#include "base/counters.h"
+#include "pages/http_reader.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,7 +16,7 @@
 
 constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
 
-// A page holds at most about 1 MB of items, or one value of that size, in base64.
+// The platform's pages hold at most about 1 MB of items, or one value of that size, in base64.
 constexpr std::uint64_t kLongestBodyBytes = 4ULL << 20U;
 constexpr std::uint32_t kLongestHeadBytes = 8192;
 
@@ -29,13 +27,13 @@
 
 } // namespace
 
-StoreConnection::StoreConnection(asio::io_context &context, const Endpoint &address)
+HttpReader::HttpReader(asio::io_context &context, const Endpoint &address)
     : address_(address)
     , stream_(context)
 {
 }
 
-asio::awaitable<bool> StoreConnection::connect(Duration timeout)
+asio::awaitable<bool> HttpReader::connect(Duration timeout)
 {
     if (connected_) {
         co_return true;
@@ -48,9 +46,8 @@
     co_return connected_;
 }
 
-asio::awaitable<std::optional<StoreReply>> StoreConnection::get(std::string target, Duration timeout)
+asio::awaitable<std::optional<HttpReply>> HttpReader::get(std::string target, Duration timeout)
 {
-    count(Counter::PlatformReads);
     if (!co_await connect(timeout)) {
         close();
         co_return std::nullopt;
@@ -73,10 +70,10 @@
     if (error) {
         co_return std::nullopt;
     }
-    co_return StoreReply{parser.get().result_int(), std::move(parser.get().body())};
+    co_return HttpReply{parser.get().result_int(), std::move(parser.get().body())};
 }
 
-void StoreConnection::close()
+void HttpReader::close()
 {
     connected_ = false;
     stream_.close();
--- a/src/platform/store_connection.h
+++ b/src/pages/http_reader.h
@@ -13,21 +13,21 @@
 namespace medlarway
 {
 
-/// What the store answered.
-struct StoreReply {
+/// An answer to a GET.
+struct HttpReply {
     unsigned status = 0;
     std::string body;
 };
 
-/// One connection to the store, for one request at a time; made again when it is needed and was lost.
-class StoreConnection
+/// One connection for GET requests, one at a time; made again when it is needed and was lost.
+class HttpReader
 {
 public:
-    StoreConnection(boost::asio::io_context &context, const Endpoint &address);
+    HttpReader(boost::asio::io_context &context, const Endpoint &address);
 
-    /// Asks for a target; nullopt where no answer came within the time. The connection is then given up, since
-    /// a store that lost an answer sends nothing further on it.
-    boost::asio::awaitable<std::optional<StoreReply>> get(std::string target, Duration timeout);
+    /// Asks for a target; nullopt where no answer came within the time. The connection is then given up: what
+    /// comes late would be taken for the answer to the next request.
+    boost::asio::awaitable<std::optional<HttpReply>> get(std::string target, Duration timeout);
 
     /// Ends the connection and what waits on it.
     void close();
--- a/src/peering/codec.cpp
+++ b/src/peering/codec.cpp
@@ -80,9 +80,9 @@
     throw Error(ErrorKind::PeerMalformed, detail);
 }
 
-json parseBoundedCbor(std::string_view bytes)
+json parseBoundedCbor(std::string_view bytes, std::size_t longest)
 {
-    if (bytes.size() > kMaxMessageBytes) {
+    if (bytes.size() > longest) {
         throw Error(ErrorKind::PeerOversized, "a message is larger than its bound");
     }
     DepthCheck check;
--- a/src/peering/codec.h
+++ b/src/peering/codec.h
@@ -25,8 +25,8 @@
 /// Nesting that a message may have; every message type is far flatter.
 inline constexpr int kMaxMessageDepth = 16;
 
-/// Reads CBOR whose nesting is bounded. Throws Error(PeerMalformed).
-nlohmann::json parseBoundedCbor(std::string_view bytes);
+/// Reads CBOR whose size and nesting are bounded. Throws Error(PeerMalformed) or Error(PeerOversized).
+nlohmann::json parseBoundedCbor(std::string_view bytes, std::size_t longest = kMaxMessageBytes);
 
 /// Writes CBOR.
 std::string writeCbor(const nlohmann::json &value);
@@ -188,11 +188,11 @@
     return writeCbor(toCborValue(message));
 }
 
-/// Decodes what encodeMessage wrote. Throws Error(PeerMalformed).
+/// Decodes what encodeMessage wrote. Throws Error(PeerMalformed) or Error(PeerOversized).
 template<class T>
-T decodeMessage(std::string_view bytes)
+T decodeMessage(std::string_view bytes, std::size_t longest = kMaxMessageBytes)
 {
-    return fromCborValue<T>(parseBoundedCbor(bytes));
+    return fromCborValue<T>(parseBoundedCbor(bytes, longest));
 }
 
 } // namespace medlarway
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -1,5 +1,6 @@
 #include "platform/store_feed.h"
 
+#include "base/counters.h"
 #include "base/errors.h"
 
 #include <algorithm>
@@ -78,6 +79,7 @@
     std::uint64_t asOf = 0;
     std::string target = "/v1/kv-range?prefix=";
     for (bool more = true; more;) {
+        count(Counter::PlatformReads);
         const auto reply = co_await connection_.get(target, options_.answerTimeout);
         const auto answer = reply && reply->status == kStatusOk ? decodeStoreAnswer(reply->body) : std::nullopt;
         if (!answer) {
@@ -101,6 +103,7 @@
 asio::awaitable<bool> StoreFeed::watch()
 {
     const auto target = fmt::format("/v1/kv-watch?prefix=&after={}&wait-ms={}", asOf_, milliseconds(options_.wait));
+    count(Counter::PlatformReads);
     const auto reply = co_await connection_.get(target, options_.wait + options_.answerTimeout);
     if (reply && reply->status == kStatusHistoryGone) {
         asOf_ = 0;
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/random.h"
-#include "platform/store_connection.h"
+#include "pages/http_reader.h"
 #include "platform/store_values.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -53,6 +53,12 @@
         return heardAt_;
     }
 
+    /// Whether the last call was answered; false before the first answer.
+    bool answered() const
+    {
+        return failures_ == 0 && heardAt_ != Time{};
+    }
+
     /// The store's revision up to which everything is known; 0 before the first answer and once the history is gone.
     std::uint64_t asOf() const
     {
@@ -72,7 +78,7 @@
     StoreFeedOptions options_;
     StoreFeedSink sink_;
     Random random_;
-    StoreConnection connection_;
+    HttpReader connection_;
     boost::asio::steady_timer timer_;
     std::uint64_t asOf_ = 0; ///< 0: must be read whole
     std::uint32_t failures_ = 0; ///< in a row
--- a/src/platform/store_values.cpp
+++ b/src/platform/store_values.cpp
@@ -45,8 +45,8 @@
 {
     std::string bytes(text.size() / 4 * 3 + 3, '\0');
     std::size_t length = 0;
-    if (sodium_base642bin(reinterpret_cast<unsigned char *>(bytes.data()), bytes.size(), text.data(), text.size(), nullptr, &length, nullptr,
-                          sodium_base64_VARIANT_ORIGINAL)
+    if (sodium_base642bin(reinterpret_cast<unsigned char *>(bytes.data()), bytes.size(), text.data(), text.size(), nullptr, &length,
+                          nullptr, sodium_base64_VARIANT_ORIGINAL)
         != 0) {
         return std::nullopt;
     }
--- /dev/null
+++ b/src/standin/packets.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/endpoint.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace medlarway
+{
+
+/// An upstream of the platform's packet protocol, for tests and the quickstart, on a thread of its own: answers an opening,
+/// and each piece of data with "NAME: " and the data. Takes TCP connections at its address too and says nothing on them.
+class StandinPacketUpstream
+{
+public:
+    /// The id's number must be in front of each packet. Clients are answered at their address and the port given.
+    StandinPacketUpstream(std::string name, std::uint64_t number, const Endpoint &listen, std::uint16_t clientPort);
+    ~StandinPacketUpstream(); ///< like a crash: it answers nothing any more
+    StandinPacketUpstream(const StandinPacketUpstream &) = delete;
+    StandinPacketUpstream &operator=(const StandinPacketUpstream &) = delete;
+
+    Endpoint address() const;
+
+    /// Packets that named another upstream, as they must not come.
+    std::size_t foreignPackets() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+/// What a client received.
+enum class ClientEvent : std::uint8_t {
+    Nothing, ///< within the time
+    Opened,
+    Data,
+    Reset,
+};
+
+/// A client of the packet protocol with one flow at a time. Sends again every 200 ms as clients do. Not thread-safe.
+class StandinPacketClient
+{
+public:
+    /// Listens at the port that entry hosts and upstreams send to.
+    explicit StandinPacketClient(const Endpoint &listen);
+    ~StandinPacketClient();
+    StandinPacketClient(const StandinPacketClient &) = delete;
+    StandinPacketClient &operator=(const StandinPacketClient &) = delete;
+
+    /// Opens a new flow from a new port number to a route's address, through a host.
+    ClientEvent open(const Endpoint &host, const Endpoint &route);
+
+    /// Sends a request on the flow, through any host, and waits for its answer; received() is the answer then.
+    ClientEvent exchange(const Endpoint &host, const std::string &request);
+
+    const std::string &received() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace medlarway
--- a/src/standin/store.cpp
+++ b/src/standin/store.cpp
@@ -72,7 +72,11 @@
     if (change.deleted) {
         return {{"key", change.key}, {"revision", change.revision}, {"deleted", true}};
     }
-    return {{"key", change.key}, {"value", encodeBase64(change.value)}, {"revision", change.revision}, {"create-rev", change.revision}, {"lease", 0}};
+    return {{"key", change.key},
+            {"value", encodeBase64(change.value)},
+            {"revision", change.revision},
+            {"create-rev", change.revision},
+            {"lease", 0}};
 }
 
 } // namespace
@@ -265,14 +269,10 @@
 
 std::string standinUpstreamEntry(const std::string &service, const Endpoint &address, const std::string &zone, const std::string &state)
 {
-    return Json{{"service", service},
-                {"address", endpointToString(address)},
-                {"zone", zone},
-                {"version", "v1"},
-                {"concurrency", 2},
-                {"state", state},
-                {"warmup-left-ms", 0},
-                {"sequence", 1},
+    return Json{{"service", service},  {"address", endpointToString(address)},
+                {"zone", zone},        {"version", "v1"},
+                {"concurrency", 2},    {"state", state},
+                {"warmup-left-ms", 0}, {"sequence", 1},
                 {"born", 1000}}
         .dump();
 }
@@ -286,7 +286,9 @@
                      {"timeout-ms", 1500},
                      {"priority", 2},
                      {"service", service}};
-    return Json{{"version", version}, {"routes", Json::array({entry})}, {"services", Json::array()}, {"limits", {{"idle-timeout-ms", 15000}}}}.dump();
+    return Json{
+        {"version", version}, {"routes", Json::array({entry})}, {"services", Json::array()}, {"limits", {{"idle-timeout-ms", 15000}}}}
+        .dump();
 }
 
 } // namespace medlarway
--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -12,8 +12,8 @@
 {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(SteeringReason::Count)> kReasonNames{
-    "opened",      "opened-again", "opened-like",      "carried",  "found-by-token", "not-ready",     "no-route",
-    "route-unsure", "no-upstream",  "upstreams-unsure", "no-token", "unknown-token",  "foreign-token", "upstream-ended",
+    "opened",      "opened-again",     "opened-like", "carried",       "found-by-token", "not-ready",     "no-route",       "route-unsure",
+    "no-upstream", "upstreams-unsure", "no-token",    "unknown-token", "foreign-token",  "route-changed", "upstream-ended",
 };
 
 // How often flows that ended or fell silent are looked for.
@@ -84,7 +84,7 @@
     // Step 1. A copy of an opening that this host has seen.
     const auto known = flows_.find(packet.flow);
     if (known != flows_.end()) {
-        if (known->second.firstSequence == packet.sequence) {
+        if (known->second.firstSequence == packet.sequence && routeHas(packet.flow.destination, known->second.upstream)) {
             return openAgain(packet, route, known->second, now);
         }
         forget(packet.flow);
@@ -131,13 +131,17 @@
         return carryUnknown(packet, now);
     }
     auto &flow = known->second;
-    // Step 1. The first packet after the opening tells whose answer the client took. Later tokens are not
-    // believed: a late answer of another upstream may have brought them.
+    // Step 1. The flow must be one of the route that has the address now. The first packet after the opening tells whose answer the client
+    // took. Later tokens are not believed: a late answer of another upstream may have brought them.
+    if (!routeHas(packet.flow.destination, flow.upstream)) {
+        forget(packet.flow);
+        return {SteeringAction::Reset, SteeringReason::RouteChanged, kNoUpstream};
+    }
     if (flow.opening) {
         takeOpened(flow, packet, now);
     } else if (!flow.pinned && packet.token != directory_.at(flow.upstream).token) {
         const auto named = directory_.findToken(packet.token);
-        if (named != kNoUpstream && routes_.everAllowed(packet.flow.destination, directory_.at(named).entry.service)) {
+        if (named != kNoUpstream && routeHas(packet.flow.destination, named)) {
             moveTo(flow, named);
         }
     }
@@ -156,6 +160,11 @@
     return {SteeringAction::Forward, SteeringReason::Carried, upstream};
 }
 
+bool FlowSteering::routeHas(const Endpoint &destination, UpstreamIndex upstream) const
+{
+    return routes_.everAllowed(destination, directory_.at(upstream).entry.service);
+}
+
 // An upstream whose address another one has is gone for certain. One that is merely no longer listed may live: only a
 // flow that gets no answer is given up.
 bool FlowSteering::hasEnded(const KnownUpstream &upstream, const SteeredFlow &flow) const
@@ -173,7 +182,7 @@
         return {SteeringAction::Drop, SteeringReason::UnknownToken, kNoUpstream};
     }
     const auto &target = directory_.at(upstream);
-    if (!routes_.everAllowed(packet.flow.destination, target.entry.service)) {
+    if (!routeHas(packet.flow.destination, upstream)) {
         return {SteeringAction::Drop, SteeringReason::ForeignToken, upstream};
     }
     if ((target.presence == Presence::Replaced || target.life.unreachable) && !packet.resets) {
--- a/src/steering/flow_steering.h
+++ b/src/steering/flow_steering.h
@@ -39,6 +39,7 @@
     NoToken, ///< neither a token nor a known flow
     UnknownToken, ///< no upstream known here has the token
     ForeignToken, ///< the token's upstream is of a service that the route never had
+    RouteChanged, ///< the flow's route went, and another route has its address now
     UpstreamEnded, ///< the flow's upstream has ended or can't be reached, and the flow with it
     Count, ///< how many there are
 };
@@ -103,6 +104,8 @@
 class FlowSteering
 {
 public:
+    using Flows = boost::unordered_flat_map<FlowId, SteeredFlow, FlowIdHash>;
+
     explicit FlowSteering(SteeringOptions options);
 
     /// Decides on one packet.
@@ -146,6 +149,12 @@
 
     const SteeredFlow *findFlow(const FlowId &flow) const;
 
+    /// The flows remembered, in no order.
+    const Flows &flows() const
+    {
+        return flows_;
+    }
+
     std::size_t flowCount() const
     {
         return flows_.size();
@@ -171,6 +180,7 @@
     void progress(SteeredFlow &flow, Time now);
     void stall(SteeredFlow &flow, Time now);
     void suspectZone(const AvailabilityZone &zone, Time now);
+    bool routeHas(const Endpoint &destination, UpstreamIndex upstream) const;
     bool hasEnded(const KnownUpstream &upstream, const SteeredFlow &flow) const;
     void beginRun(SteeredFlow &flow, Time now);
     void endRun(SteeredFlow &flow);
@@ -186,7 +196,7 @@
     UpstreamDirectory directory_;
     RouteUsages usages_;
     boost::unordered_flat_map<std::string, LifeSigns> zones_; ///< signs of life of each other availability zone as a whole
-    boost::unordered_flat_map<FlowId, SteeredFlow, FlowIdHash> flows_;
+    Flows flows_;
     std::array<std::uint64_t, static_cast<std::size_t>(SteeringReason::Count)> counts_{};
     std::vector<SteeringNews> news_;
     Time certainUntil_;
--- /dev/null
+++ b/src/steering/snapshot.cpp
@@ -0,0 +1,36 @@
+#include "steering/snapshot.h"
+
+namespace medlarway
+{
+
+SteeringSnapshot takeSnapshot(const FlowSteering &steering, std::uint64_t asOf)
+{
+    SteeringSnapshot snapshot;
+    snapshot.asOf = asOf;
+    snapshot.config = steering.routes().config();
+    for (const auto &upstream : steering.directory().all()) {
+        if (!upstream.entry.id.empty() && upstream.presence == Presence::Listed) {
+            snapshot.upstreams.push_back(upstream.entry);
+        }
+    }
+    return snapshot;
+}
+
+// Versions and revisions decide entry by entry, so that a snapshot taken before a change can't undo it. How long an
+// upstream warms up is told as it was at its revision; a few seconds more do no harm.
+bool applySnapshot(FlowSteering &steering, const SteeringSnapshot &snapshot, Time now)
+{
+    bool changed = steering.routes().apply(snapshot.config);
+    std::vector<std::string> ids;
+    ids.reserve(snapshot.upstreams.size());
+    for (const auto &entry : snapshot.upstreams) {
+        ids.push_back(entry.id);
+        const auto known = steering.directory().findId(entry.id);
+        if (known == kNoUpstream || steering.directory().at(known).entry.revision < entry.revision) {
+            changed = steering.directory().apply(entry, now) || changed;
+        }
+    }
+    return steering.directory().removeAllBut(ids, snapshot.asOf, now) > 0 || changed;
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/tests/entry_daemon/entry_host_test.cpp
@@ -0,0 +1,190 @@
+#include "daemon/caller.h"
+#include "daemon/daemon_process.h"
+#include "standin/packets.h"
+#include "standin/store.h"
+
+#include <atomic>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <thread>
+
+using namespace medlarway;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Endpoint kRoute{0xc6120001, 443};
+constexpr Endpoint kLaterRoute{0xc6120002, 443};
+constexpr std::uint16_t kPacketPort = 28172;
+constexpr std::uint16_t kReadyPort = 28167;
+constexpr std::uint16_t kControlPort = 28166;
+
+std::string settingsOf(const std::string &address, const Endpoint &store, const std::string &seed)
+{
+    return fmt::format("entry:\n  name: host\n  zone: z\n  packets: \"{0}:{1}\"\n  ready: \"{0}:{2}\"\n  control: \"{0}:{3}\"\n"
+                       "  store: \"{4}\"\n  peers: \"{0}:28200\"\n  seeds: [\"{5}:{3}\"]\n  grace-seconds: 4\n",
+                       address, kPacketPort, kReadyPort, kControlPort, endpointToString(store), seed);
+}
+
+// The platform, in a thread of its own; what it publishes is changed on that thread.
+class Platform
+{
+public:
+    Platform()
+        : store_(context_)
+        , thread_([this] { context_.run(); })
+    {
+    }
+
+    ~Platform()
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    template<class Change>
+    void change(Change change)
+    {
+        std::atomic<bool> done{false};
+        boost::asio::post(context_, [&] {
+            change(store_);
+            done = true;
+        });
+        while (!done) {
+            pauseBriefly();
+        }
+    }
+
+    Endpoint address()
+    {
+        return store_.address();
+    }
+
+private:
+    boost::asio::io_context context_{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{context_.get_executor()};
+    StandinStore store_;
+    std::thread thread_;
+};
+
+bool isReady(const std::string &address)
+{
+    return askHttp(fmt::format("{}:{}", address, kReadyPort), "/v1/ready").status == 200;
+}
+
+Endpoint packetsOf(const std::string &address)
+{
+    return {*parseAddress(address), kPacketPort};
+}
+
+} // namespace
+
+TEST_CASE("an entry host between clients and an upstream")
+{
+    const auto first = loopbackAddress(101);
+    const auto second = loopbackAddress(102);
+    const auto clientAddress = loopbackAddress(103);
+    Platform platform;
+    StandinPacketUpstream upstream("one", 0xa1, {*parseAddress(loopbackAddress(104)), 0}, kPacketPort);
+    platform.change([&](StandinStore &store) {
+        store.put("op/config", standinConfig(3, kRoute, "one"));
+        store.put("servers/i-a1", standinUpstreamEntry("one", upstream.address(), "z"));
+    });
+    DaemonProcess host(settingsOf(first, platform.address(), second), "");
+    REQUIRE(waitUntil([&] { return isReady(first); }));
+    StandinPacketClient client({*parseAddress(clientAddress), kPacketPort});
+
+    SUBCASE("carries a flow, and resets one to an address of no route")
+    {
+        REQUIRE(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
+        CHECK(client.exchange(packetsOf(first), "hello") == ClientEvent::Data);
+        CHECK(client.received() == "one: hello");
+        CHECK(client.open(packetsOf(first), kLaterRoute) == ClientEvent::Reset);
+        CHECK(upstream.foreignPackets() == 0);
+    }
+    SUBCASE("puts a new configuration in force")
+    {
+        platform.change([&](StandinStore &store) { store.put("op/config", standinConfig(5, kLaterRoute, "one")); });
+        CHECK(waitUntil([&] { return client.open(packetsOf(first), kLaterRoute) == ClientEvent::Opened; }, 3s));
+        CHECK(client.open(packetsOf(first), kRoute) == ClientEvent::Reset);
+    }
+    SUBCASE("is followed by one that never saw the flow, and a flow survives its planned stop")
+    {
+        REQUIRE(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
+        DaemonProcess other(settingsOf(second, platform.address(), first), "");
+        REQUIRE(waitUntil([&] { return isReady(second); }));
+        host.signal(SIGTERM);
+        CHECK(waitUntil([&] { return !isReady(first); }));
+        CHECK(client.exchange(packetsOf(first), "on the old one") == ClientEvent::Data);
+        CHECK(client.exchange(packetsOf(second), "on the new one") == ClientEvent::Data);
+        CHECK(client.received() == "one: on the new one");
+        CHECK(host.waitExit() == 0);
+        CHECK(client.exchange(packetsOf(second), "after") == ClientEvent::Data);
+    }
+    SUBCASE("gives what it knows to one that starts while the store is away")
+    {
+        platform.change([&](StandinStore &store) { store.setFault(StoreFault::Silent); });
+        const auto started = std::chrono::steady_clock::now();
+        DaemonProcess other(settingsOf(second, platform.address(), first), "");
+        CHECK(waitUntil([&] { return isReady(second); }));
+        CHECK(std::chrono::steady_clock::now() - started < 1s);
+        CHECK(client.open(packetsOf(second), kRoute) == ClientEvent::Opened);
+        CHECK(other.log().find("PeerSnapshotTaken") != std::string::npos);
+
+        // It can't know that no newer configuration has the route.
+        CHECK(client.open(packetsOf(second), kLaterRoute) == ClientEvent::Nothing);
+    }
+    SUBCASE("reads its settings again and goes on, faulty ones too")
+    {
+        host.write("settings.yaml", "entry: {}\n");
+        host.signal(SIGHUP);
+        CHECK(waitUntil([&] { return host.log().find("SettingsRefused") != std::string::npos; }));
+        host.write("settings.yaml", settingsOf(first, platform.address(), clientAddress));
+        host.signal(SIGHUP);
+        CHECK(waitUntil([&] { return host.log().find("SettingsReloaded") != std::string::npos; }));
+        CHECK(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
+    }
+    SUBCASE("shows what it does to operators")
+    {
+        REQUIRE(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
+        const auto control = fmt::format("{}:{}", first, kControlPort);
+        CHECK(askHttp(control, "/metrics").body.find("medlarway_packets_total{reason=\"opened\"} 1\n") != std::string::npos);
+        CHECK(askHttp(control, "/state").body.find("\"configVersion\":3") != std::string::npos);
+        CHECK(askHttp(control, "/other").status == 404);
+    }
+}
+
+TEST_CASE("an upstream that ends without a word")
+{
+    const auto address = loopbackAddress(105);
+    Platform platform;
+    auto upstream = std::make_unique<StandinPacketUpstream>("one", 0xa1, Endpoint{*parseAddress(loopbackAddress(106)), 0}, kPacketPort);
+    platform.change([&](StandinStore &store) {
+        store.put("op/config", standinConfig(3, kRoute, "one"));
+        store.put("servers/i-a1", standinUpstreamEntry("one", upstream->address(), "z"));
+    });
+    DaemonProcess host(settingsOf(address, platform.address(), address), "");
+    REQUIRE(waitUntil([&] { return isReady(address); }));
+    std::vector<std::unique_ptr<StandinPacketClient>> clients;
+    for (int number = 107; number < 110; ++number) {
+        clients.push_back(std::make_unique<StandinPacketClient>(Endpoint{*parseAddress(loopbackAddress(number)), kPacketPort}));
+        REQUIRE(clients.back()->open(packetsOf(address), kRoute) == ClientEvent::Opened);
+    }
+    upstream.reset();
+
+    SUBCASE("has its flows reset long before the clients give up")
+    {
+        std::vector<std::thread> threads;
+        std::atomic<int> resets{0};
+        for (auto &client : clients) {
+            threads.emplace_back([&] { resets += client->exchange(packetsOf(address), "anyone?") == ClientEvent::Reset ? 1 : 0; });
+        }
+        for (auto &thread : threads) {
+            thread.join();
+        }
+        CHECK(resets == 3);
+        CHECK(host.log().find("UpstreamUnreachable") != std::string::npos);
+    }
+}
--- a/tests/platform/store_values_test.cpp
+++ b/tests/platform/store_values_test.cpp
@@ -11,8 +11,8 @@
 
 Json goodEntry()
 {
-    return {{"service", "huvo11a"}, {"address", "10.128.0.9:8080"}, {"zone", "z1"}, {"version", "v1"}, {"concurrency", 2},
-            {"state", "ready"}, {"warmup-left-ms", 1500}, {"sequence", 4}, {"born", 1790000000000}};
+    return {{"service", "huvo11a"}, {"address", "10.128.0.9:8080"}, {"zone", "z1"},  {"version", "v1"},      {"concurrency", 2},
+            {"state", "ready"},     {"warmup-left-ms", 1500},       {"sequence", 4}, {"born", 1790000000000}};
 }
 
 Json goodConfig()
@@ -64,9 +64,9 @@
     SUBCASE("with a field of another type or an unknown state names no upstream")
     {
         const std::vector<std::pair<const char *, Json>> wrong{
-            {"service", 5},       {"address", "10.1.1.1"}, {"address", "x:80"},  {"state", "asleep"}, {"state", 1},
-            {"concurrency", "2"}, {"concurrency", -1},     {"born", "yesterday"}, {"born", 1.5},      {"sequence", Json::array()},
-            {"zone", nullptr},    {"warmup-left-ms", -5},
+            {"service", 5}, {"address", "10.1.1.1"},     {"address", "x:80"}, {"state", "asleep"},
+            {"state", 1},   {"concurrency", "2"},        {"concurrency", -1}, {"born", "yesterday"},
+            {"born", 1.5},  {"sequence", Json::array()}, {"zone", nullptr},   {"warmup-left-ms", -5},
         };
         for (const auto &[key, value] : wrong) {
             CAPTURE(key);
@@ -143,7 +143,8 @@
     }
     SUBCASE("is refused where it is cut or lacks its revision")
     {
-        for (const auto *text : {"", "{", R"({"items":[]})", R"({"as-of":5})", R"({"items":[{"key":"a"}],"as-of":5})", R"({"items":{},"as-of":-1})"}) {
+        for (const auto *text :
+             {"", "{", R"({"items":[]})", R"({"as-of":5})", R"({"items":[{"key":"a"}],"as-of":5})", R"({"items":{},"as-of":-1})"}) {
             CAPTURE(text);
             CHECK_FALSE(decodeStoreAnswer(text));
         }
--- a/tests/steering/flow_steering_test.cpp
+++ b/tests/steering/flow_steering_test.cpp
@@ -70,6 +70,22 @@
         CHECK(steering.onPacket(client.request(), at(0s)).upstream == 0);
         CHECK(steering.onPacket(Client(40002).open(), at(0s)).upstream == 1);
     }
+    SUBCASE("of a flow whose route went and came back with another service never reaches the first")
+    {
+        directory.apply(entryOf("i-2", 2, "gallery"), at(0s));
+        steering.onPacket(client.open(), at(0s));
+        steering.routes().apply(configOf(2, {}));
+        steering.routes().apply(configOf(3, {routeTo(kFeed, "gallery")}));
+        SUBCASE("where the opening comes again")
+        {
+            CHECK(steering.onPacket(client.open(), at(200ms)) == SteeringStep{SteeringAction::Forward, SteeringReason::Opened, 1});
+        }
+        SUBCASE("where the flow goes on")
+        {
+            const auto step = steering.onPacket(client.acknowledge(tokenOf("i-1")), at(10ms));
+            CHECK(step == SteeringStep{SteeringAction::Reset, SteeringReason::RouteChanged, kNoUpstream});
+        }
+    }
     SUBCASE("of a flow whose route went is reset")
     {
         steering.onPacket(client.open(), at(0s));
@@ -264,7 +280,8 @@
 
         SUBCASE("and their next packets are reset, as the first reset may be lost")
         {
-            CHECK(steering.onPacket(clients[0].again(), at(600ms)) == SteeringStep{SteeringAction::Reset, SteeringReason::UpstreamEnded, 0});
+            CHECK(steering.onPacket(clients[0].again(), at(600ms))
+                  == SteeringStep{SteeringAction::Reset, SteeringReason::UpstreamEnded, 0});
         }
         SUBCASE("until a client shows an answer to a trial")
         {
@@ -290,7 +307,8 @@
         steering.onPacket(clients.back().request(), at(0s));
     };
     const auto suspected = [&] {
-        return std::count_if(directory.all().begin(), directory.all().end(), [](const auto &row) { return row.life.suspectedAt.has_value(); });
+        return std::count_if(directory.all().begin(), directory.all().end(),
+                             [](const auto &row) { return row.life.suspectedAt.has_value(); });
     };
 
     SUBCASE("is suspected as a whole where single flows of several upstreams stall")
