--- /dev/null
+++ b/bench/steering_bench.cpp
@@ -0,0 +1,127 @@
+// What the packet path costs a host: processor time for each kind of packet and bytes for each flow and upstream, at
+// today's size and at the size designed for. A figure is the median of five rounds.
+#include "steering/flow_steering.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <fmt/format.h>
+#include <malloc.h>
+#include <vector>
+
+using namespace medlarway;
+
+namespace
+{
+
+constexpr int kRounds = 5;
+constexpr std::uint32_t kFirstRoute = 0xc6120001;
+constexpr Time kStart = Time{} + std::chrono::hours{1};
+
+struct Size {
+    const char *name;
+    std::uint32_t upstreams;
+    std::uint32_t services;
+    std::uint32_t flows;
+};
+
+FlowSteering build(const Size &size)
+{
+    SteeringOptions options;
+    options.zone.name = "a";
+    options.flowLimit = size.flows * 2;
+    FlowSteering steering(options);
+    RouteConfig config;
+    config.version = 1;
+    for (std::uint32_t service = 0; service < size.services; ++service) {
+        FlowRoute route;
+        route.address = {kFirstRoute + service, 443};
+        route.targets = {{fmt::format("s{}", service), 1}};
+        config.routes.push_back(route);
+    }
+    steering.routes().apply(config);
+    for (std::uint32_t number = 0; number < size.upstreams; ++number) {
+        UpstreamEntry entry;
+        entry.id = fmt::format("i-{:x}", number + 1);
+        entry.number = number + 1;
+        entry.address = {0x0a000000 + number, 80};
+        entry.service = fmt::format("s{}", number % size.services);
+        entry.zone.name = number % 2 == 0 ? "a" : "b";
+        entry.slots = 2;
+        entry.revision = number + 1;
+        steering.directory().apply(entry, kStart);
+    }
+    return steering;
+}
+
+FlowPacket packetOf(const Size &size, std::uint32_t flow)
+{
+    FlowPacket packet;
+    packet.flow = {{0x64400000 + flow / 20'000, static_cast<std::uint16_t>(flow % 20'000 + 1)}, {kFirstRoute + flow % size.services, 443}};
+    packet.sequence = 1;
+    return packet;
+}
+
+// Nanoseconds for each flow's packet, as the function makes them.
+template<class MakePacket>
+double measure(FlowSteering &steering, const Size &size, MakePacket makePacket)
+{
+    const auto begun = std::chrono::steady_clock::now();
+    for (std::uint32_t flow = 0; flow < size.flows; ++flow) {
+        steering.onPacket(makePacket(flow), kStart);
+    }
+    return std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - begun).count() / size.flows;
+}
+
+std::size_t heapBytes()
+{
+    const auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+void run(const Size &size)
+{
+    std::array<std::vector<double>, 3> times;
+    std::size_t upstreamBytes = 0;
+    std::size_t flowBytes = 0;
+    for (int round = 0; round < kRounds; ++round) {
+        const auto empty = heapBytes();
+        auto steering = build(size);
+        const auto built = heapBytes();
+        times[0].push_back(measure(steering, size, [&](std::uint32_t flow) {
+            auto packet = packetOf(size, flow);
+            packet.opens = true;
+            return packet;
+        }));
+        flowBytes = (heapBytes() - built) / size.flows;
+        upstreamBytes = (built - empty) / size.upstreams;
+        times[1].push_back(measure(steering, size, [&](std::uint32_t flow) {
+            auto packet = packetOf(size, flow);
+            packet.sequence = 2;
+            packet.dataBytes = 100;
+            packet.acknowledged = 7;
+            return packet;
+        }));
+        const auto begun = std::chrono::steady_clock::now();
+        steering.tick(kStart + std::chrono::seconds{2});
+        times[2].push_back(std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begun).count());
+    }
+    for (auto &row : times) {
+        std::sort(row.begin(), row.end());
+    }
+    fmt::print(
+        "{}: {} upstreams of {} services, {} flows: opening {:.0f} ns, other packet {:.0f} ns, sweep each second {:.0f} us, {} bytes an "
+        "upstream with its route, {} bytes a flow\n",
+        size.name, size.upstreams, size.services, size.flows, times[0][kRounds / 2], times[1][kRounds / 2], times[2][kRounds / 2],
+        upstreamBytes, flowBytes);
+}
+
+} // namespace
+
+int main()
+{
+    run({"today", 18, 2, 200});
+    run({"grown", 150, 2, 3000});
+    run({"full size", 9100, 2500, 33'700});
+    return 0;
+}
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -5,11 +5,12 @@
 cd "$(dirname "$0")/.."
 scripts/install-packages.sh
 cmake --preset release >/dev/null
-cmake --build --preset release --target medlarwayd medlarwayctl standin_upstream
+cmake --build --preset release --target medlarwayd medlarwayctl standin_upstream standin_platform
 
 daemon=$PWD/build/release/src/daemon/medlarwayd
 tool=$PWD/build/release/src/ctl/medlarwayctl
 upstream=$PWD/build/release/bench/standin_upstream
+platform=$PWD/build/release/bench/standin_platform
 folder=$(mktemp -d)
 started=()
 
@@ -152,4 +153,30 @@
 kill -TERM "$daemon_process"
 wait "$daemon_process" || fail "the daemon ended with exit code $?"
 grep -E 'StopRequested|Stopped' "$folder/daemon.log"
+echo "== an entry host: packets of flows, with a stand-in for the platform's store, upstreams and a client"
+free_port; store=127.0.0.1:$free_port_result
+free_port; packets=127.0.0.1:$free_port_result
+free_port; ready=127.0.0.1:$free_port_result
+free_port; control=127.0.0.1:$free_port_result
+free_port; peers=127.0.0.1:$free_port_result
+cat >"$folder/entry.yaml" <<END
+entry:
+  name: quickstart
+  zone: here
+  packets: $packets
+  ready: $ready
+  control: $control
+  store: $store
+  peers: $peers
+  grace-seconds: 4
+END
+"$tool" check-settings "$folder/entry.yaml"
+"$daemon" --settings "$folder/entry.yaml" >"$folder/entry.log" 2>&1 &
+entry_process=$!
+started+=("$entry_process")
+"$platform" --store "$store" --packets "$packets" || fail "a flow was not answered"
+"$tool" flows "$control"
+kill -TERM "$entry_process"
+wait "$entry_process" || fail "the entry host ended with exit code $?"
+grep -E 'Started|CatalogueAccepted|Stopped' "$folder/entry.log"
 echo "== done"
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -155,12 +155,14 @@
 void EntryHost::takeNews()
 {
     for (const auto &news : steering_.takeNews()) {
-        const auto &upstream = steering_.directory().at(news.upstream);
-        logEvent(news.suspected ? Event::UpstreamEjected : Event::UpstreamReadmitted,
-                 {field("upstream", upstream.entry.id), field("zone", upstream.entry.zone.name), field("flows", upstream.flows),
-                  field("running", upstream.running), field("stalled", upstream.life.stalledFlows),
-                  field("entry-revision", upstream.entry.revision)});
-        if (news.suspected) {
+        if (news.kind != SteeringNewsKind::StillSuspected) {
+            const auto &upstream = steering_.directory().at(news.upstream);
+            logEvent(news.kind == SteeringNewsKind::Suspected ? Event::UpstreamEjected : Event::UpstreamReadmitted,
+                     {field("upstream", upstream.entry.id), field("zone", upstream.entry.zone.name), field("flows", upstream.flows),
+                      field("running", upstream.running), field("stalled", upstream.life.stalledFlows),
+                      field("entry-revision", upstream.entry.revision)});
+        }
+        if (news.kind != SteeringNewsKind::Answers) {
             probe(news.upstream);
         }
     }
@@ -181,6 +183,9 @@
 
 void EntryHost::giveUp(UpstreamIndex index)
 {
+    if (!steering_.directory().at(index).life.suspectedAt) {
+        return; // a client showed an answer while the connections were tried
+    }
     const auto flows = steering_.giveUp(index);
     std::vector<PacketHeader> resets;
     resets.reserve(flows.size());
@@ -292,6 +297,7 @@
     const bool changed = applySnapshot(steering_, snapshot, monotonicNow());
     snapshotRevision_ = std::max(snapshotRevision_, snapshot.asOf);
     upstreamsRead_ = true;
+    feed_.adopt(snapshot.asOf);
     if (changed) {
         logEvent(Event::PeerSnapshotTaken, {field("peer", endpointToString(from)), field("revision", snapshot.asOf),
                                             field("version", snapshot.config.version), field("upstreams", snapshot.upstreams.size())});
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
+#include <utility>
 
 namespace medlarway
 {
@@ -63,7 +64,7 @@
 asio::awaitable<void> StoreFeed::follow()
 {
     while (running_) {
-        const bool good = asOf_ == 0 ? co_await readWhole() : co_await watch();
+        const bool good = asOf_ == 0 ? co_await readPage() : co_await watch();
         const auto rest = good ? (changed_ ? options_.pace : Duration{}) : backOff();
         if (rest > Duration{}) {
             timer_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(rest));
@@ -72,41 +73,54 @@
     }
 }
 
-// Pages are no snapshot: watching goes on from the first page's revision, so that nothing between two pages is missed.
-asio::awaitable<bool> StoreFeed::readWhole()
+// Reads the next page. Pages are no snapshot: watching goes on from the first page's revision, so that nothing between two
+// pages is missed. A refused page alone is asked for again: many hosts that start at once would else never get to the end.
+asio::awaitable<bool> StoreFeed::readPage()
 {
-    std::vector<std::string> ids;
-    std::uint64_t asOf = 0;
-    std::string target = "/v1/kv-range?prefix=";
-    for (bool more = true; more;) {
-        count(Counter::PlatformReads);
-        const auto reply = co_await connection_.get(target, options_.answerTimeout);
-        const auto answer = reply && reply->status == kStatusOk ? decodeStoreAnswer(reply->body) : std::nullopt;
-        if (!answer) {
-            co_return noteFailure("read", reply ? reply->status : 0);
-        }
-        asOf = asOf == 0 ? answer->asOf : asOf;
-        for (const auto &item : answer->items) {
-            take(item);
-            if (item.key.starts_with(kUpstreamPrefix)) {
-                ids.push_back(item.key.substr(kUpstreamPrefix.size()));
-            }
+    count(Counter::PlatformReads);
+    const auto target = "/v1/kv-range?prefix=" + (reading_.after.empty() ? "" : "&after=" + reading_.after);
+    const auto reply = co_await connection_.get(target, answerTimeout());
+    const auto answer = reply && reply->status == kStatusOk ? decodeStoreAnswer(reply->body) : std::nullopt;
+    if (!answer) {
+        co_return noteFailure("read", reply ? reply->status : 0);
+    }
+    if (asOf_ != 0) {
+        co_return true; // another host has told everything meanwhile
+    }
+    reading_.asOf = reading_.asOf == 0 ? answer->asOf : reading_.asOf;
+    for (const auto &item : answer->items) {
+        take(item);
+        if (item.key.starts_with(kUpstreamPrefix)) {
+            reading_.ids.push_back(item.key.substr(kUpstreamPrefix.size()));
         }
-        more = answer->hasMore && !answer->items.empty();
-        target = more ? "/v1/kv-range?prefix=&after=" + answer->items.back().key : "";
     }
-    sink_.whole(ids, asOf);
-    noteSuccess(asOf, true);
+    if (answer->hasMore && !answer->items.empty()) {
+        reading_.after = answer->items.back().key;
+        failures_ /= 2; // the store's rate is still shared with the others that read now
+        co_return true;
+    }
+    const auto whole = std::exchange(reading_, {});
+    sink_.whole(whole.ids, whole.asOf);
+    noteSuccess(whole.asOf, true);
     co_return true;
 }
 
+void StoreFeed::adopt(std::uint64_t asOf)
+{
+    if (asOf_ == 0) {
+        asOf_ = asOf;
+        reading_ = {};
+    }
+}
+
 asio::awaitable<bool> StoreFeed::watch()
 {
     const auto target = fmt::format("/v1/kv-watch?prefix=&after={}&wait-ms={}", asOf_, milliseconds(options_.wait));
     count(Counter::PlatformReads);
-    const auto reply = co_await connection_.get(target, options_.wait + options_.answerTimeout);
+    const auto reply = co_await connection_.get(target, options_.wait + answerTimeout());
     if (reply && reply->status == kStatusHistoryGone) {
         asOf_ = 0;
+        changed_ = false;
         co_return true;
     }
     const auto answer = reply && reply->status == kStatusOk ? decodeStoreAnswer(reply->body) : std::nullopt;
@@ -161,6 +175,12 @@
     return false;
 }
 
+// A store that answers slowly is given more time, else none of its answers would ever be taken.
+Duration StoreFeed::answerTimeout() const
+{
+    return std::min(options_.longestAnswerTimeout, options_.answerTimeout * (1U << std::min(failures_, kMostDoublings)));
+}
+
 // Doubles, with jitter so that hosts don't come back together.
 Duration StoreFeed::backOff()
 {
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -21,6 +21,7 @@
     /// Beyond the wait; a connection that is silent for longer is given up. Wait and timeout together stay below the 4 s after
     /// which a host whose connections fell silent must have noticed it.
     Duration answerTimeout = std::chrono::milliseconds{900};
+    Duration longestAnswerTimeout = std::chrono::seconds{3}; ///< it doubles with each failure in a row, up to this
     Duration shortestBackOff = std::chrono::milliseconds{150};
     Duration longestBackOff = std::chrono::seconds{1};
 
@@ -44,6 +45,10 @@
     /// Begins to read.
     void start();
 
+    /// Another host has told everything up to the revision. Where this one has not read it all itself, it goes on from there:
+    /// hosts that start together need not all read everything.
+    void adopt(std::uint64_t asOf);
+
     /// Ends what runs.
     void stop();
 
@@ -66,12 +71,20 @@
     }
 
 private:
+    // Reading everything, page by page.
+    struct Reading {
+        std::string after; ///< the last key read; empty before the first page
+        std::uint64_t asOf = 0; ///< of the first page
+        std::vector<std::string> ids; ///< of upstreams, so far
+    };
+
     boost::asio::awaitable<void> follow();
-    boost::asio::awaitable<bool> readWhole();
+    boost::asio::awaitable<bool> readPage();
     boost::asio::awaitable<bool> watch();
     void take(const StoreItem &item);
     void noteSuccess(std::uint64_t asOf, bool changed);
     bool noteFailure(std::string_view call, unsigned status);
+    Duration answerTimeout() const;
     Duration backOff();
 
     boost::asio::io_context &context_;
@@ -80,6 +93,7 @@
     Random random_;
     HttpReader connection_;
     boost::asio::steady_timer timer_;
+    Reading reading_;
     std::uint64_t asOf_ = 0; ///< 0: must be read whole
     std::uint32_t failures_ = 0; ///< in a row
     bool changed_ = false; ///< by the last answer
--- a/src/standin/store.cpp
+++ b/src/standin/store.cpp
@@ -111,6 +111,7 @@
             ++calls;
             http::response<http::string_body> response(http::status::ok, 11);
             co_await answer(std::string(request.target().data(), request.target().size()), response);
+            co_await hold(delay, [] { return false; });
             if (fault == StoreFault::Resets) {
                 beast::error_code ignored;
                 socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -141,6 +142,10 @@
 
     asio::awaitable<void> answer(std::string target, http::response<http::string_body> &response)
     {
+        if (refuseEach > 0 && calls % refuseEach == 0) {
+            response.result(http::status::too_many_requests);
+            co_return;
+        }
         if (fault == StoreFault::Busy || fault == StoreFault::TooMany) {
             response.result(fault == StoreFault::Busy ? http::status::service_unavailable : http::status::too_many_requests);
             co_return;
@@ -198,6 +203,8 @@
     tcp::acceptor acceptor;
     bool open = true;
     StoreFault fault = StoreFault::None;
+    std::chrono::milliseconds delay{0};
+    std::size_t refuseEach = 0;
     std::size_t pageItems = kPageItems;
     std::size_t calls = 0;
     std::size_t held = 0;
@@ -246,6 +253,16 @@
     impl_->fault = fault;
 }
 
+void StandinStore::refuseEach(std::size_t calls)
+{
+    impl_->refuseEach = calls;
+}
+
+void StandinStore::setDelay(std::chrono::milliseconds delay)
+{
+    impl_->delay = delay;
+}
+
 void StandinStore::dropHistory()
 {
     impl_->historyStart = impl_->revision;
--- a/src/standin/store.h
+++ b/src/standin/store.h
@@ -3,6 +3,7 @@
 #include "base/endpoint.h"
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -39,6 +40,12 @@
 
     void setFault(StoreFault fault);
 
+    /// Refuses each so many-th call as too many; 0 refuses none.
+    void refuseEach(std::size_t calls);
+
+    /// How long each answer takes more than it would.
+    void setDelay(std::chrono::milliseconds delay);
+
     /// What was changed so far can no longer be watched from.
     void dropHistory();
 
--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -150,7 +150,7 @@
     const auto upstream = flow.upstream;
     const auto &target = directory_.at(upstream);
     // Step 3. A flow whose upstream has ended is given up, so that the client need not wait for its deadline.
-    if (!packet.resets && hasEnded(target, flow)) {
+    if (!packet.resets && hasEnded(target)) {
         forget(packet.flow);
         return {SteeringAction::Reset, SteeringReason::UpstreamEnded, upstream};
     }
@@ -165,11 +165,10 @@
     return routes_.everAllowed(destination, directory_.at(upstream).entry.service);
 }
 
-// An upstream whose address another one has is gone for certain. One that is merely no longer listed may live: only a
-// flow that gets no answer is given up.
-bool FlowSteering::hasEnded(const KnownUpstream &upstream, const SteeredFlow &flow) const
+// An upstream whose address another one has is gone for certain. One that is merely no longer listed may live.
+bool FlowSteering::hasEnded(const KnownUpstream &upstream)
 {
-    return upstream.presence == Presence::Replaced || upstream.life.unreachable || (upstream.presence == Presence::Gone && flow.stalled);
+    return upstream.presence == Presence::Replaced || upstream.life.unreachable;
 }
 
 SteeringStep FlowSteering::carryUnknown(const FlowPacket &packet, Time now)
@@ -185,7 +184,7 @@
     if (!routeHas(packet.flow.destination, upstream)) {
         return {SteeringAction::Drop, SteeringReason::ForeignToken, upstream};
     }
-    if ((target.presence == Presence::Replaced || target.life.unreachable) && !packet.resets) {
+    if (hasEnded(target) && !packet.resets) {
         return {SteeringAction::Reset, SteeringReason::UpstreamEnded, upstream};
     }
     if (packet.resets || packet.finishes) {
@@ -278,7 +277,7 @@
     flow.stalled = false;
     auto &upstream = directory_.at(flow.upstream);
     if (noteProgress(upstream.life, now)) {
-        news_.push_back({flow.upstream, false});
+        news_.push_back({flow.upstream, SteeringNewsKind::Answers});
     }
     if (upstream.entry.zone != options_.zone) {
         noteProgress(zones_[upstream.entry.zone.name], now);
@@ -289,8 +288,12 @@
 {
     flow.stalled = true;
     auto &upstream = directory_.at(flow.upstream);
-    if (noteStall(upstream.life, flow.stallCountedIn, now)) {
-        news_.push_back({flow.upstream, true});
+    // One that is no longer listed has most likely ended: a single flow is enough to look.
+    const bool gone = upstream.presence == Presence::Gone;
+    if (noteStall(upstream.life, flow.stallCountedIn, now) || (gone && suspect(upstream.life, now))) {
+        news_.push_back({flow.upstream, SteeringNewsKind::Suspected});
+    } else if (dueForProbe(upstream.life, now)) {
+        news_.push_back({flow.upstream, SteeringNewsKind::StillSuspected});
     }
     if (upstream.entry.zone != options_.zone && noteStall(zones_[upstream.entry.zone.name], flow.zoneStallCountedIn, now)) {
         suspectZone(upstream.entry.zone, now);
@@ -311,7 +314,7 @@
     for (UpstreamIndex index = 0; index < directory_.all().size(); ++index) {
         auto &upstream = directory_.at(index);
         if (!upstream.entry.id.empty() && upstream.entry.zone == zone && suspect(upstream.life, now)) {
-            news_.push_back({index, true});
+            news_.push_back({index, SteeringNewsKind::Suspected});
         }
     }
 }
--- a/src/steering/flow_steering.h
+++ b/src/steering/flow_steering.h
@@ -84,10 +84,17 @@
     PlacingWeights weights;
 };
 
-/// Something that steering came to believe, for the log.
+/// What became known of an upstream.
+enum class SteeringNewsKind : std::uint8_t {
+    Suspected, ///< it should be tried whether it can be connected to
+    StillSuspected, ///< flows go on stalling: tried again
+    Answers, ///< it was suspected before
+};
+
+/// Something that steering came to believe.
 struct SteeringNews {
     UpstreamIndex upstream = kNoUpstream;
-    bool suspected = false; ///< else it answers again
+    SteeringNewsKind kind = SteeringNewsKind::Suspected;
 
     friend bool operator==(const SteeringNews &, const SteeringNews &) = default;
 };
@@ -181,7 +188,7 @@
     void stall(SteeredFlow &flow, Time now);
     void suspectZone(const AvailabilityZone &zone, Time now);
     bool routeHas(const Endpoint &destination, UpstreamIndex upstream) const;
-    bool hasEnded(const KnownUpstream &upstream, const SteeredFlow &flow) const;
+    static bool hasEnded(const KnownUpstream &upstream);
     void beginRun(SteeredFlow &flow, Time now);
     void endRun(SteeredFlow &flow);
     void moveTo(SteeredFlow &flow, UpstreamIndex upstream);
--- a/src/steering/life_signs.cpp
+++ b/src/steering/life_signs.cpp
@@ -37,6 +37,16 @@
     life.suspectedAt = now;
     life.lastTrial = now;
     life.trials = 0;
+    life.probedAt = now;
+    return true;
+}
+
+bool dueForProbe(LifeSigns &life, Time now)
+{
+    if (!life.suspectedAt || life.unreachable || now - life.probedAt < kProbeInterval) {
+        return false;
+    }
+    life.probedAt = now;
     return true;
 }
 
--- a/src/steering/life_signs.h
+++ b/src/steering/life_signs.h
@@ -28,7 +28,14 @@
 /// Something else makes the upstream suspected. False where it was already.
 bool suspect(LifeSigns &life, Time now);
 
-/// Whether a suspected upstream is due to be tried.
+/// How often a connection to a suspected upstream is tried while flows go on stalling: one that could be connected to may
+/// end a moment later.
+inline constexpr Duration kProbeInterval = std::chrono::milliseconds{500};
+
+/// Whether a connection to a suspected upstream is due to be tried again; if so, it counts as tried.
+bool dueForProbe(LifeSigns &life, Time now);
+
+/// Whether a suspected upstream is due to be tried with a new flow.
 bool dueForTrial(const LifeSigns &life, Time now);
 
 /// A new flow goes to the upstream; a trial, where it is suspected.
--- a/tests/entry_daemon/entry_host_test.cpp
+++ b/tests/entry_daemon/entry_host_test.cpp
@@ -168,6 +168,7 @@
     DaemonProcess host(settingsOf(address, platform.address(), address), "");
     REQUIRE(waitUntil([&] { return isReady(address); }));
     std::vector<std::unique_ptr<StandinPacketClient>> clients;
+    clients.reserve(3);
     for (int number = 107; number < 110; ++number) {
         clients.push_back(std::make_unique<StandinPacketClient>(Endpoint{*parseAddress(loopbackAddress(number)), kPacketPort}));
         REQUIRE(clients.back()->open(packetsOf(address), kRoute) == ClientEvent::Opened);
--- a/tests/platform/store_feed_test.cpp
+++ b/tests/platform/store_feed_test.cpp
@@ -30,6 +30,7 @@
         options.pace = 1ms;
         options.wait = 100ms;
         options.answerTimeout = 100ms;
+        options.longestAnswerTimeout = 1s;
         options.shortestBackOff = 2ms;
         options.longestBackOff = 20ms;
         return options;
@@ -102,6 +103,35 @@
         Reader late(context, store.address());
         CHECK(runUntil(context, [&] { return late.upstreams.size() == 8; }));
     }
+    SUBCASE("asks again for a page that was refused, not for those before it")
+    {
+        store.setPageItems(1);
+        for (int row = 2; row < 12; ++row) {
+            store.put(fmt::format("servers/i-{}", row), entry());
+        }
+        reader.feed.stop();
+        store.refuseEach(3);
+        const auto before = store.calls();
+        Reader late(context, store.address());
+        CHECK(runUntil(context, [&] { return late.wholes == 1; }));
+        CHECK(late.upstreams.size() == 11);
+        CHECK(store.calls() - before <= 20); // 12 pages, a third of the calls refused
+        late.feed.stop();
+    }
+    SUBCASE("goes on from what another host told, and reads nothing whole")
+    {
+        reader.feed.stop();
+        const auto known = store.put("servers/i-2", entry());
+        store.setFault(StoreFault::Busy);
+        Reader late(context, store.address());
+        late.feed.adopt(known);
+        store.setFault(StoreFault::None);
+        store.put("servers/i-3", entry());
+        CHECK(runUntil(context, [&] { return late.upstreams.contains("i-3"); }));
+        CHECK(late.wholes == 0);
+        CHECK_FALSE(late.upstreams.contains("i-2"));
+        late.feed.stop();
+    }
     SUBCASE("reads it whole again once the history is gone, and learns what was removed meanwhile")
     {
         store.remove("servers/i-1");
@@ -131,6 +161,12 @@
         runUntil(context, [&] { return std::chrono::steady_clock::now() >= end; });
         CHECK(store.calls() - before <= 5);
     }
+    SUBCASE("takes the answers of a store that is slower than it waits at first")
+    {
+        store.setDelay(250ms);
+        store.put("servers/i-2", entry());
+        CHECK(runUntil(context, [&] { return reader.upstreams.contains("i-2"); }));
+    }
     SUBCASE("gives up a connection that fell silent")
     {
         store.setFault(StoreFault::Silent);
