standin, tests: the users' platform in small has a folder of its own; reading the change again

Cause: names of the platform stood outside a platform/ folder; a query was taken apart by hand beside pages/query.h; two tests set up their clients alike; one parameter was unused. Change: src/standin/platform/, the store's query by parseTarget, askAll in the steering tests. Behaviour as before.

--- a/bench/standin_platform.cpp
+++ b/bench/standin_platform.cpp
@@ -1,7 +1,7 @@
 // The users' platform in small, for the quickstart: a store that publishes one route and two upstreams, and a client that
 // sends flows through an entry host. Exits with 0 once every flow was answered.
-#include "standin/packets.h"
-#include "standin/store.h"
+#include "standin/platform/packets.h"
+#include "standin/platform/store.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
--- a/src/standin/packets.cpp
+++ b/src/standin/platform/packets.cpp
@@ -1,4 +1,4 @@
-#include "standin/packets.h"
+#include "standin/platform/packets.h"
 
 #include <array>
 #include <atomic>
--- a/src/standin/store.cpp
+++ b/src/standin/platform/store.cpp
@@ -1,4 +1,6 @@
-#include "standin/store.h"
+#include "standin/platform/store.h"
+
+#include "pages/query.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -33,19 +35,8 @@
 constexpr std::chrono::milliseconds kHoldStep{5}; // how often a held watch looks again
 constexpr std::size_t kPageItems = 50;
 
-std::string queryText(std::string_view target, std::string_view name)
+std::uint64_t toNumber(const std::string &text)
 {
-    const auto found = target.find(fmt::format("{}=", name));
-    if (found == std::string_view::npos) {
-        return {};
-    }
-    const auto begin = found + name.size() + 1;
-    return std::string(target.substr(begin, target.find('&', begin) - begin));
-}
-
-std::uint64_t queryNumber(std::string_view target, std::string_view name)
-{
-    const auto text = queryText(target, name);
     std::uint64_t value = 0;
     std::from_chars(text.data(), text.data() + text.size(), value);
     return value;
@@ -150,18 +141,20 @@
             response.result(fault == StoreFault::Busy ? http::status::service_unavailable : http::status::too_many_requests);
             co_return;
         }
-        if (target.starts_with("/v1/kv-range")) {
-            response.body() = range(queryText(target, "prefix"), queryText(target, "after"));
+        const auto parsed = parseTarget(target);
+        if (!parsed || (parsed->path != "/v1/kv-range" && parsed->path != "/v1/kv-watch")) {
+            response.result(http::status::not_found);
             co_return;
         }
-        if (!target.starts_with("/v1/kv-watch")) {
-            response.result(http::status::not_found);
+        auto query = parsed->query;
+        if (parsed->path == "/v1/kv-range") {
+            response.body() = range(query["prefix"], query["after"]);
             co_return;
         }
-        const auto prefix = queryText(target, "prefix");
-        const auto after = queryNumber(target, "after");
+        const auto prefix = query["prefix"];
+        const auto after = toNumber(query["after"]);
         ++held;
-        co_await hold(std::chrono::milliseconds{queryNumber(target, "wait-ms")},
+        co_await hold(std::chrono::milliseconds{toNumber(query["wait-ms"])},
                       [&] { return fault != StoreFault::None || after < historyStart || !changesAfter(prefix, after).empty(); });
         --held;
         if (after < historyStart) {
--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -85,7 +85,7 @@
     const auto known = flows_.find(packet.flow);
     if (known != flows_.end()) {
         if (known->second.firstSequence == packet.sequence && routeHas(packet.flow.destination, known->second.upstream)) {
-            return openAgain(packet, route, known->second, now);
+            return openAgain(route, known->second, now);
         }
         forget(packet.flow);
     }
@@ -108,7 +108,7 @@
 
 // An upstream that lives answers within milliseconds, so a copy means that it is gone, full, or a packet was lost.
 // Another one is asked; the client takes the first answer, and takeOpened finds out whose that was.
-SteeringStep FlowSteering::openAgain(const FlowPacket & /*packet*/, const FlowRoute &route, SteeredFlow &flow, Time now)
+SteeringStep FlowSteering::openAgain(const FlowRoute &route, SteeredFlow &flow, Time now)
 {
     flow.heard = now;
     if (!flow.opening) {
--- a/src/steering/flow_steering.h
+++ b/src/steering/flow_steering.h
@@ -176,7 +176,7 @@
 private:
     SteeringStep decide(const FlowPacket &packet, Time now);
     SteeringStep open(const FlowPacket &packet, const FlowRoute &route, Time now);
-    SteeringStep openAgain(const FlowPacket &packet, const FlowRoute &route, SteeredFlow &flow, Time now);
+    SteeringStep openAgain(const FlowRoute &route, SteeredFlow &flow, Time now);
     SteeringStep carry(const FlowPacket &packet, Time now);
     SteeringStep carryUnknown(const FlowPacket &packet, Time now);
     SteeringStep unrouted(const FlowPacket &packet, Time now);
--- a/tests/entry_daemon/entry_host_test.cpp
+++ b/tests/entry_daemon/entry_host_test.cpp
@@ -1,8 +1,9 @@
 #include "daemon/caller.h"
 #include "daemon/daemon_process.h"
-#include "standin/packets.h"
-#include "standin/store.h"
+#include "standin/platform/packets.h"
+#include "standin/platform/store.h"
 
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
@@ -167,20 +168,21 @@
     });
     DaemonProcess host(settingsOf(address, platform.address(), address), "");
     REQUIRE(waitUntil([&] { return isReady(address); }));
-    std::vector<std::unique_ptr<StandinPacketClient>> clients;
-    clients.reserve(3);
-    for (int number = 107; number < 110; ++number) {
-        clients.push_back(std::make_unique<StandinPacketClient>(Endpoint{*parseAddress(loopbackAddress(number)), kPacketPort}));
-        REQUIRE(clients.back()->open(packetsOf(address), kRoute) == ClientEvent::Opened);
+    const auto clientAt = [](int number) { return Endpoint{*parseAddress(loopbackAddress(number)), kPacketPort}; };
+    std::array<StandinPacketClient, 3> clients{StandinPacketClient(clientAt(107)), StandinPacketClient(clientAt(108)),
+                                               StandinPacketClient(clientAt(109))};
+    for (auto &client : clients) {
+        REQUIRE(client.open(packetsOf(address), kRoute) == ClientEvent::Opened);
     }
     upstream.reset();
 
     SUBCASE("has its flows reset long before the clients give up")
     {
         std::vector<std::thread> threads;
+        threads.reserve(clients.size());
         std::atomic<int> resets{0};
         for (auto &client : clients) {
-            threads.emplace_back([&] { resets += client->exchange(packetsOf(address), "anyone?") == ClientEvent::Reset ? 1 : 0; });
+            threads.emplace_back([&] { resets += client.exchange(packetsOf(address), "anyone?") == ClientEvent::Reset ? 1 : 0; });
         }
         for (auto &thread : threads) {
             thread.join();
--- a/tests/platform/store_feed_test.cpp
+++ b/tests/platform/store_feed_test.cpp
@@ -1,5 +1,5 @@
 #include "platform/store_feed.h"
-#include "standin/store.h"
+#include "standin/platform/store.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/tests/steering/flow_steering_test.cpp
+++ b/tests/steering/flow_steering_test.cpp
@@ -199,13 +199,7 @@
     auto steering = makeSteering();
     auto &directory = steering.directory();
     directory.apply(entryOf("i-1", 1), at(0s));
-    std::vector<Client> clients;
-    for (std::uint16_t port = 1; port <= 4; ++port) {
-        clients.emplace_back(port);
-        steering.onPacket(clients.back().open(), at(0s));
-        steering.onPacket(clients.back().acknowledge(tokenOf("i-1")), at(10ms));
-        steering.onPacket(clients.back().request(), at(20ms));
-    }
+    auto clients = askAll(steering, 4);
     directory.apply(entryOf("i-2", 2, "registry", "b"), at(20ms));
     const auto stallAll = [&](std::size_t count, Duration when) {
         for (std::size_t row = 0; row < count; ++row) {
@@ -266,13 +260,7 @@
     auto steering = makeSteering();
     auto &directory = steering.directory();
     directory.apply(entryOf("i-1", 1), at(0s));
-    std::vector<Client> clients;
-    for (std::uint16_t port = 1; port <= 4; ++port) {
-        clients.emplace_back(port);
-        steering.onPacket(clients.back().open(), at(0s));
-        steering.onPacket(clients.back().acknowledge(tokenOf("i-1")), at(10ms));
-        steering.onPacket(clients.back().request(), at(20ms));
-    }
+    auto clients = askAll(steering, 4);
 
     SUBCASE("loses no flow while clients show answers")
     {
--- a/tests/steering/steering_fixture.h
+++ b/tests/steering/steering_fixture.h
@@ -3,6 +3,8 @@
 #include "steering/flow_steering.h"
 
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace medlarway::steering_test
 {
@@ -141,4 +143,17 @@
     std::uint32_t acknowledged_ = 0x90000000;
 };
 
+/// So many clients, each with a flow to the only upstream there is, "i-1", and a request that waits for its answer.
+inline std::vector<Client> askAll(FlowSteering &steering, std::uint16_t count)
+{
+    std::vector<Client> clients;
+    for (std::uint16_t port = 1; port <= count; ++port) {
+        clients.emplace_back(port);
+        steering.onPacket(clients.back().open(), at(0s));
+        steering.onPacket(clients.back().acknowledge(tokenOf("i-1")), at(10ms));
+        steering.onPacket(clients.back().request(), at(20ms));
+    }
+    return clients;
+}
+
 } // namespace medlarway::steering_test
