platform: one client for the store; a start reads pages outside the store's rate

Cause: the proxy's platform.address spoke a protocol of our own invention beside the store's, with a second client, its own back-off and its own stand-in. And after all of 300 hosts were killed it took 30 s until they served: each reads every page, and calls beyond the store's rate are refused. Change: StoreClient knows the store's calls, StoreFeed (entry hosts) and StoreSource (proxy, was HttpSource) use it. At its start a host reads pages that may be seconds old, which are outside the rate and cost a tenth, then what changed since the oldest page; only that answer makes it ready and certain. Where that history is gone it reads again, the latest. A connection is given up after the answer's timeout, no longer after the held watch's. Found on the way: GCC 12 runs co_await in a nested conditional expression wrongly (a page was read once instead of three times); written as statements. Ruled out: readers by rank for this: with stale reads the store's rate no longer binds a start; calls at rest stay as they were.

--- a/src/daemon/platform_duty.cpp
+++ b/src/daemon/platform_duty.cpp
@@ -2,7 +2,7 @@
 
 #include "daemon/control.h"
 #include "platform/file_source.h"
-#include "platform/http_source.h"
+#include "platform/store_source.h"
 
 #include <utility>
 
@@ -17,10 +17,10 @@
 std::unique_ptr<PlatformSource> makeSource(boost::asio::io_context &context, const Settings &settings, PlatformSink sink)
 {
     if (settings.platform.address) {
-        HttpSourceOptions options;
+        StoreSourceOptions options;
         options.address = *settings.platform.address;
         options.seed = hostIdOf(settings).value;
-        return makeHttpSource(context, options, std::move(sink));
+        return makeStoreSource(context, options, std::move(sink));
     }
     FileSourceOptions options;
     options.catalogueFile = settings.platform.catalogueFile;
--- a/src/entry/peer_snapshots.cpp
+++ b/src/entry/peer_snapshots.cpp
@@ -91,7 +91,7 @@
 boost::asio::awaitable<void> PeerSnapshots::ask(Endpoint host)
 {
     HttpReader reader(context_, host);
-    const auto reply = co_await reader.get(snapshotTarget({ports_.asOf(), self_}), kAnswerTimeout);
+    const auto reply = co_await reader.get(snapshotTarget({ports_.asOf(), self_}), kAnswerTimeout, kAnswerTimeout);
     reader.close();
     if (!reply) {
         co_return;
--- a/src/pages/http_reader.cpp
+++ b/src/pages/http_reader.cpp
@@ -46,9 +46,9 @@
     co_return connected_;
 }
 
-asio::awaitable<std::optional<HttpReply>> HttpReader::get(std::string target, Duration timeout)
+asio::awaitable<std::optional<HttpReply>> HttpReader::get(std::string target, Duration timeout, Duration connectTimeout)
 {
-    if (!co_await connect(timeout)) {
+    if (!co_await connect(connectTimeout)) {
         close();
         co_return std::nullopt;
     }
--- a/src/pages/http_reader.h
+++ b/src/pages/http_reader.h
@@ -25,9 +25,9 @@
 public:
     HttpReader(boost::asio::io_context &context, const Endpoint &address);
 
-    /// Asks for a target; nullopt where no answer came within the time. The connection is then given up: what
-    /// comes late would be taken for the answer to the next request.
-    boost::asio::awaitable<std::optional<HttpReply>> get(std::string target, Duration timeout);
+    /// Asks for a target; nullopt where no answer came within the time, or no connection within its own. The connection is then
+    /// given up: what comes late would be taken for the answer to the next request.
+    boost::asio::awaitable<std::optional<HttpReply>> get(std::string target, Duration timeout, Duration connectTimeout);
 
     /// Ends the connection and what waits on it.
     void close();
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -1,6 +1,5 @@
 #include "platform/store_feed.h"
 
-#include "base/counters.h"
 #include "base/errors.h"
 
 #include <algorithm>
@@ -24,15 +23,8 @@
 constexpr std::string_view kConfigKey = "op/config";
 constexpr std::string_view kUpstreamPrefix = "servers/";
 
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusHistoryGone = 410;
-
-constexpr std::uint32_t kMostDoublings = 8;
-
-std::int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
+// The store answers at once what changed since a revision; the shortest wait that it takes.
+constexpr Duration kNoWait = std::chrono::milliseconds{1};
 
 } // namespace
 
@@ -41,7 +33,7 @@
     , options_(options)
     , sink_(std::move(sink))
     , random_(options.seed)
-    , connection_(context, options.address)
+    , client_(context, options.address)
     , timer_(context)
 {
 }
@@ -55,7 +47,7 @@
 void StoreFeed::stop()
 {
     running_ = false;
-    connection_.close();
+    client_.close();
     timer_.cancel();
 }
 
@@ -64,8 +56,8 @@
 asio::awaitable<void> StoreFeed::follow()
 {
     while (running_) {
-        const bool good = asOf_ == 0 ? co_await readPage() : co_await watch();
-        const auto rest = good ? (changed_ ? options_.pace : Duration{}) : backOff();
+        const bool good = co_await step();
+        const auto rest = good ? (changed_ ? options_.pace : Duration{}) : backOffAfter(failures_, options_.patience, random_);
         if (rest > Duration{}) {
             timer_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(rest));
             co_await timer_.async_wait(kWaitForCompletion);
@@ -73,36 +65,64 @@
     }
 }
 
-// Reads the next page. Pages are no snapshot: watching goes on from the first page's revision, so that nothing between two
-// pages is missed. A refused page alone is asked for again: many hosts that start at once would else never get to the end.
+asio::awaitable<bool> StoreFeed::step()
+{
+    if (asOf_ != 0) {
+        co_return co_await watch();
+    }
+    if (reading_.paged) {
+        co_return co_await catchUp();
+    }
+    co_return co_await readPage();
+}
+
+// Reads the next page. Pages may be seconds old and are no snapshot: what changed since the oldest one is read after them, so that nothing
+// is missed. Such pages are outside the store's rate, which hosts that start together would else share. A refused page alone is asked for
+// again.
 asio::awaitable<bool> StoreFeed::readPage()
 {
-    count(Counter::PlatformReads);
-    const auto target = "/v1/kv-range?prefix=" + (reading_.after.empty() ? "" : "&after=" + reading_.after);
-    const auto reply = co_await connection_.get(target, answerTimeout());
-    const auto answer = reply && reply->status == kStatusOk ? decodeStoreAnswer(reply->body) : std::nullopt;
-    if (!answer) {
-        co_return noteFailure("read", reply ? reply->status : 0);
+    const auto reply = co_await client_.page("", reading_.after, freshness_, answerTimeoutAfter(failures_, options_.patience));
+    if (!reply.answer) {
+        co_return noteFailure("read", reply.status);
     }
     if (asOf_ != 0) {
         co_return true; // another host has told everything meanwhile
     }
-    reading_.asOf = reading_.asOf == 0 ? answer->asOf : reading_.asOf;
-    for (const auto &item : answer->items) {
+    const auto &answer = *reply.answer;
+    reading_.asOf = reading_.asOf == 0 ? answer.asOf : std::min(reading_.asOf, answer.asOf);
+    for (const auto &item : answer.items) {
         take(item);
         if (item.key.starts_with(kUpstreamPrefix)) {
             reading_.ids.push_back(item.key.substr(kUpstreamPrefix.size()));
         }
     }
-    if (answer->hasMore && !answer->items.empty()) {
-        reading_.after = answer->items.back().key;
-        failures_ /= 2; // the store's rate is still shared with the others that read now
+    failures_ /= 2; // the store may still be busy with others that read now
+    reading_.paged = !answer.hasMore || answer.items.empty();
+    if (!reading_.paged) {
+        reading_.after = answer.items.back().key;
+    }
+    co_return true;
+}
+
+// Only what the store says now ends the reading. Where that history is gone, the pages were too old: they are read again, new ones now.
+asio::awaitable<bool> StoreFeed::catchUp()
+{
+    const auto reply = co_await client_.watch("", reading_.asOf, kNoWait, answerTimeoutAfter(failures_, options_.patience));
+    if (asOf_ != 0) {
+        co_return true; // another host has told everything meanwhile
+    }
+    if (reply.status == kStoreHistoryGone) {
+        freshness_ = Freshness::Latest;
+        reading_ = {};
         co_return true;
     }
+    if (!reply.answer) {
+        co_return noteFailure("watch", reply.status);
+    }
     const auto whole = std::exchange(reading_, {});
+    asOf_ = whole.asOf;
     sink_.whole(whole.ids, whole.asOf);
-    noteSuccess(whole.asOf, true);
-    co_return true;
+    co_return takeChanges(reply);
 }
 
 void StoreFeed::adopt(std::uint64_t asOf)
@@ -115,23 +135,23 @@
 
 asio::awaitable<bool> StoreFeed::watch()
 {
-    const auto target = fmt::format("/v1/kv-watch?prefix=&after={}&wait-ms={}", asOf_, milliseconds(options_.wait));
-    count(Counter::PlatformReads);
-    const auto reply = co_await connection_.get(target, options_.wait + answerTimeout());
-    if (reply && reply->status == kStatusHistoryGone) {
+    const auto reply = co_await client_.watch("", asOf_, options_.wait, answerTimeoutAfter(failures_, options_.patience));
+    if (reply.status == kStoreHistoryGone) {
         asOf_ = 0;
+        freshness_ = Freshness::Latest;
         changed_ = false;
         co_return true;
     }
-    const auto answer = reply && reply->status == kStatusOk ? decodeStoreAnswer(reply->body) : std::nullopt;
-    if (!answer) {
-        co_return noteFailure("watch", reply ? reply->status : 0);
-    }
-    for (const auto &item : answer->items) {
+    co_return reply.answer ? takeChanges(reply) : noteFailure("watch", reply.status);
+}
+
+bool StoreFeed::takeChanges(const StoreReply &reply)
+{
+    for (const auto &item : reply.answer->items) {
         take(item);
     }
-    noteSuccess(std::max(asOf_, answer->asOf), !answer->items.empty());
-    co_return true;
+    noteSuccess(std::max(asOf_, reply.answer->asOf), !reply.answer->items.empty());
+    return true;
 }
 
 // An entry that can't be read names no upstream to use, whatever it said before.
@@ -175,18 +195,4 @@
     return false;
 }
 
-// A store that answers slowly is given more time, else none of its answers would ever be taken.
-Duration StoreFeed::answerTimeout() const
-{
-    return std::min(options_.longestAnswerTimeout, options_.answerTimeout * (1U << std::min(failures_, kMostDoublings)));
-}
-
-// Doubles, with jitter so that hosts don't come back together.
-Duration StoreFeed::backOff()
-{
-    const auto doubled = options_.shortestBackOff * (1U << std::min(failures_, kMostDoublings));
-    const auto longest = std::min(options_.longestBackOff, doubled);
-    return std::chrono::duration_cast<Duration>(longest * (0.5 + 0.5 * random_.unit()));
-}
-
 } // namespace medlarway
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "base/random.h"
-#include "pages/http_reader.h"
-#include "platform/store_values.h"
+#include "platform/store_client.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -18,12 +16,9 @@
     std::uint64_t seed = 1; ///< of the jitter
     Duration pace = std::chrono::milliseconds{250}; ///< rest after an answer with changes; more may follow, and each call has a price
     Duration wait = std::chrono::milliseconds{2800}; ///< how long the store may hold a watch
-    /// Beyond the wait; a connection that is silent for longer is given up. Wait and timeout together stay below the 4 s after
-    /// which a host whose connections fell silent must have noticed it.
-    Duration answerTimeout = std::chrono::milliseconds{900};
-    Duration longestAnswerTimeout = std::chrono::seconds{3}; ///< it doubles with each failure in a row, up to this
-    Duration shortestBackOff = std::chrono::milliseconds{150};
-    Duration longestBackOff = std::chrono::seconds{1};
+    /// A connection that is silent for longer is given up. Wait and timeout together stay below the 4 s after which a host
+    /// whose connections fell silent must have noticed it.
+    StorePatience patience;
 
     friend bool operator==(const StoreFeedOptions &, const StoreFeedOptions &) = default;
 };
@@ -71,29 +66,32 @@
     }
 
 private:
-    // Reading everything, page by page.
+    // Reading everything, page by page, and then what changed since the oldest page.
     struct Reading {
         std::string after; ///< the last key read; empty before the first page
-        std::uint64_t asOf = 0; ///< of the first page
+        std::uint64_t asOf = 0; ///< of the oldest page
         std::vector<std::string> ids; ///< of upstreams, so far
+        bool paged = false; ///< every page was read
     };
 
     boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<bool> step();
     boost::asio::awaitable<bool> readPage();
+    boost::asio::awaitable<bool> catchUp();
     boost::asio::awaitable<bool> watch();
+    bool takeChanges(const StoreReply &reply);
     void take(const StoreItem &item);
     void noteSuccess(std::uint64_t asOf, bool changed);
     bool noteFailure(std::string_view call, unsigned status);
-    Duration answerTimeout() const;
-    Duration backOff();
 
     boost::asio::io_context &context_;
     StoreFeedOptions options_;
     StoreFeedSink sink_;
     Random random_;
-    HttpReader connection_;
+    StoreClient client_;
     boost::asio::steady_timer timer_;
     Reading reading_;
+    Freshness freshness_ = Freshness::Seconds; ///< of the pages
     std::uint64_t asOf_ = 0; ///< 0: must be read whole
     std::uint32_t failures_ = 0; ///< in a row
     bool changed_ = false; ///< by the last answer
--- a/src/platform/store_values.cpp
+++ b/src/platform/store_values.cpp
@@ -144,6 +144,22 @@
     return route;
 }
 
+// Services without a name name nothing.
+std::vector<std::string> decodeServices(const Json &config)
+{
+    std::vector<std::string> services;
+    const auto list = config.find("services");
+    if (list == config.end() || !list->is_array()) {
+        return services;
+    }
+    for (const auto &entry : *list) {
+        if (const auto name = entry.is_object() ? textOf(entry, "name") : std::nullopt) {
+            services.push_back(*name);
+        }
+    }
+    return services;
+}
+
 Json parseObject(std::string_view text)
 {
     auto value = Json::parse(text, nullptr, false);
@@ -175,6 +191,17 @@
     return answer;
 }
 
+std::optional<StoreAnswer> decodeStoreItem(std::string_view body)
+{
+    const auto object = parseObject(body);
+    const auto asOf = countOf(object, "as-of");
+    auto item = decodeItem(object);
+    if (!asOf || !item) {
+        return std::nullopt;
+    }
+    return StoreAnswer{{std::move(*item)}, false, *asOf};
+}
+
 std::optional<std::uint64_t> upstreamNumber(std::string_view id)
 {
     const auto dash = id.rfind('-');
@@ -236,6 +263,7 @@
         }
         config.routes.push_back(std::move(*route));
     }
+    config.services = decodeServices(object);
     const auto limits = object.find("limits");
     if (limits != object.end() && limits->is_object()) {
         if (const auto idle = countOf(*limits, "idle-timeout-ms", kLongestMilliseconds)) {
--- a/src/platform/store_values.h
+++ b/src/platform/store_values.h
@@ -34,6 +34,9 @@
 /// Decodes the body of a range or of a watch; nullopt where it can't be read. Never throws.
 std::optional<StoreAnswer> decodeStoreAnswer(std::string_view body);
 
+/// Decodes the body of a read of one item, as an answer that holds just this; nullopt where it can't be read. Never throws.
+std::optional<StoreAnswer> decodeStoreItem(std::string_view body);
+
 /// Decodes the entry of an upstream; nullopt where a field is missing or of another type: it then names no
 /// upstream to use. Never throws.
 std::optional<UpstreamEntry> decodeUpstream(std::string_view id, std::string_view value, std::uint64_t revision);
--- a/src/standin/platform/store.h
+++ b/src/standin/platform/store.h
@@ -16,6 +16,7 @@
     None,
     Busy, ///< 503
     TooMany, ///< 429
+    OnlyStale, ///< 429, but reads that may be seconds old are answered
     Silent, ///< takes calls and never answers, those that wait already included
     Resets, ///< resets each connection that calls
 };
@@ -35,6 +36,9 @@
     /// Writes an item; gives the revision.
     std::uint64_t put(const std::string &key, const std::string &value);
 
+    /// Puts an item back to an earlier revision, as a store that lost something would, and forgets its history.
+    void putBack(const std::string &key, const std::string &value, std::uint64_t revision);
+
     /// Removes an item; gives the revision.
     std::uint64_t remove(const std::string &key);
 
@@ -49,12 +53,18 @@
     /// What was changed so far can no longer be watched from.
     void dropHistory();
 
+    /// From now on, reads that may be seconds old are answered as everything is at this moment.
+    void freezeStaleReads();
+
     /// Items on one page of a range.
     void setPageItems(std::size_t items);
 
     /// Calls taken, refused ones included.
     std::size_t calls() const;
 
+    /// Of those, reads that may be seconds old.
+    std::size_t staleCalls() const;
+
     /// Ranges and watches that are held now, for a test that waits for a reader.
     std::size_t heldWatches() const;
 
--- a/src/steering/route_table.h
+++ b/src/steering/route_table.h
@@ -44,6 +44,7 @@
     std::uint64_t version = 0;
     std::vector<FlowRoute> routes;
     Duration idleTimeout = std::chrono::seconds{15}; ///< a flow that was silent for so long may be forgotten
+    std::vector<std::string> services; ///< that exist, those without a route too
 
     friend bool operator==(const RouteConfig &, const RouteConfig &) = default;
 };
