steering: an entry of a service that does not exist takes no upstream's address

Cause: entries may come from other writers, with services that the configuration does not name. Such an entry with the address of a living upstream and a later start made that one count as replaced, and its flows were reset. Measured: the new case of flow_steering_test failed before (Presence::Replaced, Reset).

--- a/bench/steering_bench.cpp
+++ b/bench/steering_bench.cpp
@@ -39,7 +39,7 @@
         route.targets = {{fmt::format("s{}", service), 1}};
         config.routes.push_back(route);
     }
-    steering.routes().apply(config);
+    steering.applyConfig(config);
     for (std::uint32_t number = 0; number < size.upstreams; ++number) {
         UpstreamEntry entry;
         entry.id = fmt::format("i-{:x}", number + 1);
--- a/fuzz/steering_fuzz.cpp
+++ b/fuzz/steering_fuzz.cpp
@@ -80,7 +80,7 @@
             config.routes.push_back(row);
         }
         std::erase_if(allowed_, [&](const auto &pair) { return !kept.contains(pair.first); });
-        steering_.routes().apply(config);
+        steering_.applyConfig(config);
     }
 
     void list(std::uint8_t a, std::uint8_t b)
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -35,7 +35,7 @@
 
 // How long after the platform's last word a host may still say for certain that a route does not exist: while a watch
 // is held that has not been given up yet.
-constexpr Duration kCertainty = StoreFeedOptions{}.wait + StoreFeedOptions{}.answerTimeout;
+constexpr Duration kCertainty = StoreFeedOptions{}.wait + StoreFeedOptions{}.patience.answerTimeout;
 
 // Flows on one page for operators.
 constexpr std::size_t kMostFlowsShown = 1000;
@@ -218,7 +218,7 @@
 void EntryHost::takeConfig(const RouteConfig &config)
 {
     const auto before = steering_.routes().version();
-    if (steering_.routes().apply(config)) {
+    if (steering_.applyConfig(config)) {
         logEvent(Event::CatalogueAccepted,
                  {field("version", config.version), field("before", before), field("routes", config.routes.size())});
     } else if (config.version < before) {
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -1,6 +1,7 @@
 #include "steering/directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace medlarway
 {
@@ -12,6 +13,16 @@
     return token == 0 ? 1 : token;
 }
 
+void UpstreamDirectory::nameServices(std::vector<std::string> services)
+{
+    services_ = std::move(services);
+}
+
+bool UpstreamDirectory::isNamed(const std::string &service) const
+{
+    return services_.empty() || std::find(services_.begin(), services_.end(), service) != services_.end();
+}
+
 bool UpstreamDirectory::apply(const UpstreamEntry &entry, Time now)
 {
     auto index = findId(entry.id);
@@ -151,6 +162,9 @@
 // One process listens at an address: the one that was born later has it, and the other has ended.
 void UpstreamDirectory::takeAddress(UpstreamIndex index, Time now)
 {
+    if (!isNamed(upstreams_[index].entry.service)) {
+        return;
+    }
     const auto [holder, isNew] = byAddress_.try_emplace(upstreams_[index].entry.address, index);
     const auto other = holder->second;
     if (isNew || other == index) {
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -80,6 +80,9 @@
 class UpstreamDirectory
 {
 public:
+    /// Which services exist. Entries of others may come from anybody: they take no address from an upstream. Empty: not known.
+    void nameServices(std::vector<std::string> services);
+
     /// Takes an entry; false where a later revision of it is known.
     bool apply(const UpstreamEntry &entry, Time now);
 
@@ -130,7 +133,9 @@
     void leaveList(UpstreamIndex index, Presence presence, Time now);
     void takeAddress(UpstreamIndex index, Time now);
     void rebuildServices();
+    bool isNamed(const std::string &service) const;
 
+    std::vector<std::string> services_; ///< that exist
     std::vector<KnownUpstream> upstreams_;
     std::vector<UpstreamIndex> free_;
     std::size_t listed_ = 0;
--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -48,6 +48,15 @@
 {
 }
 
+bool FlowSteering::applyConfig(const RouteConfig &config)
+{
+    if (!routes_.apply(config)) {
+        return false;
+    }
+    directory_.nameServices(config.services);
+    return true;
+}
+
 SteeringStep FlowSteering::onPacket(const FlowPacket &packet, Time now)
 {
     const auto step = decide(packet, now);
--- a/src/steering/flow_steering.h
+++ b/src/steering/flow_steering.h
@@ -120,6 +120,9 @@
     /// Time passed. Call it every kSteeringTick.
     void tick(Time now);
 
+    /// Puts a version of the configuration in force; false where it is not newer than the one in force.
+    bool applyConfig(const RouteConfig &config);
+
     /// Until when the routes and the upstreams are known to be as the platform has them, but for its lag.
     void setCertainUntil(Time time)
     {
@@ -133,11 +136,6 @@
     /// What was learnt since the last call.
     std::vector<SteeringNews> takeNews();
 
-    RouteTable &routes()
-    {
-        return routes_;
-    }
-
     const RouteTable &routes() const
     {
         return routes_;
--- a/src/steering/snapshot.cpp
+++ b/src/steering/snapshot.cpp
@@ -20,7 +20,7 @@
 // upstream warms up is told as it was at its revision; a few seconds more do no harm.
 bool applySnapshot(FlowSteering &steering, const SteeringSnapshot &snapshot, Time now)
 {
-    bool changed = steering.routes().apply(snapshot.config);
+    bool changed = steering.applyConfig(snapshot.config);
     std::vector<std::string> ids;
     ids.reserve(snapshot.upstreams.size());
     for (const auto &entry : snapshot.upstreams) {
--- a/tests/entry/peer_hosts_test.cpp
+++ b/tests/entry/peer_hosts_test.cpp
@@ -102,7 +102,7 @@
     RouteConfig config;
     config.version = 7;
     config.routes.push_back({"r", {0xc6120001, 443}, RouteKind::Download, 5s, 1, {{"one", 90}, {"two", 10}}});
-    there.routes().apply(config);
+    there.applyConfig(config);
     there.directory().apply(entryOf("i-1", 10), at(0s));
     there.directory().apply(entryOf("i-2", 12), at(0s));
     auto snapshot = takeSnapshot(there, 12);
@@ -124,7 +124,7 @@
     {
         auto newer = config;
         newer.version = 9;
-        here.routes().apply(newer);
+        here.applyConfig(newer);
         here.directory().apply(entryOf("i-2", 15), at(0s));
         here.directory().apply(entryOf("i-3", 14), at(0s));
         applySnapshot(here, snapshot, at(0s));
--- a/tests/fleet/five_hosts_test.cpp
+++ b/tests/fleet/five_hosts_test.cpp
@@ -111,14 +111,28 @@
     std::vector<std::thread> threads_;
 };
 
+// What a host said last.
+std::string endOfLog(Fleet &fleet, int host)
+{
+    constexpr std::size_t kShownBytes = 1500;
+    const auto log = fleet.process(host).log();
+    return log.substr(log.size() - std::min(log.size(), kShownBytes));
+}
+
+// Whether a host still runs, and what it said last, for a check that failed.
+std::string lastSign(Fleet &fleet, int host)
+{
+    const auto exit = fleet.process(host).waitExit(seconds{0});
+    return fmt::format("host {}: {}, view {}, log {}", host, exit ? fmt::format("ended with {}", *exit) : "runs", fleet.viewSize(host),
+                       endOfLog(fleet, host));
+}
+
 // A planned stop and a start with an empty memory.
 void replace(Fleet &fleet, int host)
 {
     fleet.process(host).signal(SIGTERM);
     const auto exit = fleet.process(host).waitExit(seconds{20});
-    const auto log = fleet.process(host).log();
-    INFO("host ", host, " state ", exit ? "" : fleet.state(host).dump(), " log ",
-         log.substr(log.size() - std::min<std::size_t>(log.size(), 1500)));
+    INFO("host ", host, " state ", exit ? "" : fleet.state(host).dump(), " log ", endOfLog(fleet, host));
     CHECK(exit.value_or(-1) == 0);
     fleet.start(host);
     REQUIRE(fleet.waitTogether());
@@ -265,6 +279,7 @@
     {
         REQUIRE(fleet.waitGuardsReady());
         fleet.isolate(5);
+        INFO(lastSign(fleet, 1), "\n", lastSign(fleet, 5));
         CHECK(waitUntil([&] { return fleet.viewSize(1) == kFleetHosts - 1 && fleet.viewSize(5) == 1; }, seconds{30}));
 
         // The side with most guards runs keys; the other refuses them unrun, and serves what needs no guard.
--- a/tests/steering/flow_steering_test.cpp
+++ b/tests/steering/flow_steering_test.cpp
@@ -65,7 +65,7 @@
     SUBCASE("of a flow whose route moved to another service still goes where the flow is")
     {
         directory.apply(entryOf("i-2", 2, "gallery"), at(0s));
-        steering.routes().apply(configOf(2, {routeTo(kFeed, "gallery")}));
+        steering.applyConfig(configOf(2, {routeTo(kFeed, "gallery")}));
         client.acknowledge(tokenOf("i-1"));
         CHECK(steering.onPacket(client.request(), at(0s)).upstream == 0);
         CHECK(steering.onPacket(Client(40002).open(), at(0s)).upstream == 1);
@@ -74,8 +74,8 @@
     {
         directory.apply(entryOf("i-2", 2, "gallery"), at(0s));
         steering.onPacket(client.open(), at(0s));
-        steering.routes().apply(configOf(2, {}));
-        steering.routes().apply(configOf(3, {routeTo(kFeed, "gallery")}));
+        steering.applyConfig(configOf(2, {}));
+        steering.applyConfig(configOf(3, {routeTo(kFeed, "gallery")}));
         SUBCASE("where the opening comes again")
         {
             CHECK(steering.onPacket(client.open(), at(200ms)) == SteeringStep{SteeringAction::Forward, SteeringReason::Opened, 1});
@@ -90,7 +90,7 @@
     {
         steering.onPacket(client.open(), at(0s));
         steering.onPacket(client.acknowledge(tokenOf("i-1")), at(0s));
-        steering.routes().apply(configOf(2, {routeTo(kGallery, "gallery")}));
+        steering.applyConfig(configOf(2, {routeTo(kGallery, "gallery")}));
         CHECK(steering.onPacket(client.request(), at(0s)).action == SteeringAction::Reset);
         CHECK(steering.flowCount() == 0);
     }
@@ -184,6 +184,17 @@
         client.acknowledge(tokenOf("i-1"));
         CHECK(steering.onPacket(client.request(), at(1s)).action == SteeringAction::Reset);
     }
+    SUBCASE("keeps its address and its flows where an entry of a service that does not exist names them")
+    {
+        auto config = configOf(2, {routeTo(kFeed, "registry"), routeTo(kGallery, "gallery")});
+        config.services = {"registry", "gallery"};
+        REQUIRE(steering.applyConfig(config));
+        auto forged = entryOf("i-2", 1, "nobody", "a", 5);
+        forged.born = 2000;
+        directory.apply(forged, at(1s));
+        CHECK(directory.at(0).presence == Presence::Listed);
+        CHECK(steering.onPacket(client.takeAnswer(), at(1s)) == SteeringStep{SteeringAction::Forward, SteeringReason::Carried, 0});
+    }
     SUBCASE("that starts again under its id at another address frees the first address")
     {
         auto moved = entryOf("i-1", 7, "registry", "a", 5);
--- a/tests/steering/steering_fixture.h
+++ b/tests/steering/steering_fixture.h
@@ -58,7 +58,7 @@
     SteeringOptions options;
     options.zone.name = "a";
     FlowSteering steering(options);
-    steering.routes().apply(configOf(1, {routeTo(kFeed, "registry"), routeTo(kGallery, "gallery")}));
+    steering.applyConfig(configOf(1, {routeTo(kFeed, "registry"), routeTo(kGallery, "gallery")}));
     steering.setCertainUntil(at(1h));
     return steering;
 }
