--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -43,19 +43,21 @@
 {
 }
 
-boost::asio::awaitable<StoreReply> StoreClient::item(std::string key, Duration timeout)
+boost::asio::awaitable<StoreReply> StoreClient::item(const std::string &key, Duration timeout)
 {
     return call("/v1/kv-key?key=" + encodeQueryValue(key), timeout, timeout, decodeStoreItem);
 }
 
-boost::asio::awaitable<StoreReply> StoreClient::page(std::string prefix, std::string afterKey, Freshness freshness, Duration timeout)
+boost::asio::awaitable<StoreReply> StoreClient::page(const std::string &prefix, const std::string &afterKey, Freshness freshness,
+                                                     Duration timeout)
 {
     const auto after = afterKey.empty() ? "" : "&after=" + encodeQueryValue(afterKey);
     const auto *stale = freshness == Freshness::Seconds ? "&stale-ok=1" : "";
     return call("/v1/kv-range?prefix=" + encodeQueryValue(prefix) + after + stale, timeout, timeout, decodeStoreAnswer);
 }
 
-boost::asio::awaitable<StoreReply> StoreClient::watch(std::string prefix, std::uint64_t afterRevision, Duration wait, Duration timeout)
+boost::asio::awaitable<StoreReply> StoreClient::watch(const std::string &prefix, std::uint64_t afterRevision, Duration wait,
+                                                      Duration timeout)
 {
     auto target = fmt::format("/v1/kv-watch?prefix={}&after={}&wait-ms={}", encodeQueryValue(prefix), afterRevision, milliseconds(wait));
     return call(std::move(target), wait + timeout, timeout, decodeStoreAnswer);
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -51,13 +51,13 @@
     StoreClient(boost::asio::io_context &context, const Endpoint &address);
 
     /// Reads one item.
-    boost::asio::awaitable<StoreReply> item(std::string key, Duration timeout);
+    boost::asio::awaitable<StoreReply> item(const std::string &key, Duration timeout);
 
     /// Reads a page of the items with the prefix, those after a key.
-    boost::asio::awaitable<StoreReply> page(std::string prefix, std::string afterKey, Freshness freshness, Duration timeout);
+    boost::asio::awaitable<StoreReply> page(const std::string &prefix, const std::string &afterKey, Freshness freshness, Duration timeout);
 
     /// Asks for what changed after a revision; the store may hold the call for the wait, and answers within the timeout after it.
-    boost::asio::awaitable<StoreReply> watch(std::string prefix, std::uint64_t afterRevision, Duration wait, Duration timeout);
+    boost::asio::awaitable<StoreReply> watch(const std::string &prefix, std::uint64_t afterRevision, Duration wait, Duration timeout);
 
     /// Ends the connection and what waits on it.
     void close();
--- a/src/standin/platform/packets.cpp
+++ b/src/standin/platform/packets.cpp
@@ -184,11 +184,11 @@
     }
 
     // Sends until something of the flow comes that ends the wait.
-    ClientEvent converse(const Endpoint &host, const std::string &bytes)
+    ClientEvent converse(const HostOfPacket &host, const std::string &bytes)
     {
         for (int sends = 0; sends < kMostSends; ++sends) {
             ErrorCode ignored;
-            socket.send_to(asio::buffer(bytes), toAsio(host), 0, ignored);
+            socket.send_to(asio::buffer(bytes), toAsio(host(flow.source.port)), 0, ignored);
             const auto event = listen(SteadyClock::now() + kSendAgain);
             if (event != ClientEvent::Nothing) {
                 return event;
@@ -202,7 +202,7 @@
         while (SteadyClock::now() < until) {
             std::size_t size = 0;
             bool done = false;
-            socket.async_receive(asio::buffer(buffer), [&](const ErrorCode &error, std::size_t bytes) {
+            socket.async_receive_from(asio::buffer(buffer), sender, [&](const ErrorCode &error, std::size_t bytes) {
                 size = error ? 0 : bytes;
                 done = true;
             });
@@ -247,6 +247,7 @@
     asio::io_context context{1};
     udp::socket socket;
     std::array<std::uint8_t, kBufferBytes> buffer{};
+    udp::endpoint sender; ///< of what is in the buffer
     Packet flow; ///< what the flow's next packet says
     std::uint16_t nextPort = kFirstPort;
     bool opening = false;
@@ -261,6 +262,16 @@
 StandinPacketClient::~StandinPacketClient() = default;
 
 ClientEvent StandinPacketClient::open(const Endpoint &host, const Endpoint &route)
+{
+    return open([&host](std::uint16_t /*port*/) { return host; }, route);
+}
+
+ClientEvent StandinPacketClient::exchange(const Endpoint &host, const std::string &request)
+{
+    return exchange([&host](std::uint16_t /*port*/) { return host; }, request);
+}
+
+ClientEvent StandinPacketClient::open(const HostOfPacket &host, const Endpoint &route)
 {
     auto &flow = impl_->flow;
     flow = {};
@@ -275,12 +286,12 @@
     flow.sequence = kClientSequence + 1;
     if (event == ClientEvent::Opened) {
         ErrorCode ignored;
-        impl_->socket.send_to(asio::buffer(write(flow)), toAsio(host), 0, ignored);
+        impl_->socket.send_to(asio::buffer(write(flow)), toAsio(host(flow.source.port)), 0, ignored);
     }
     return event;
 }
 
-ClientEvent StandinPacketClient::exchange(const Endpoint &host, const std::string &request)
+ClientEvent StandinPacketClient::exchange(const HostOfPacket &host, const std::string &request)
 {
     auto packet = impl_->flow;
     packet.data = request;
@@ -293,4 +304,9 @@
     return impl_->received;
 }
 
+std::uint32_t StandinPacketClient::lastSender() const
+{
+    return impl_->sender.address().to_v4().to_uint();
+}
+
 } // namespace medlarway
--- a/src/standin/platform/packets.h
+++ b/src/standin/platform/packets.h
@@ -3,6 +3,7 @@
 #include "base/endpoint.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -39,6 +40,9 @@
     Reset,
 };
 
+/// Which host takes a packet of the flow that the client has at this port number, as routers choose it.
+using HostOfPacket = std::function<Endpoint(std::uint16_t port)>;
+
 /// A client of the packet protocol with one flow at a time. Sends again every 200 ms as clients do. Not thread-safe.
 class StandinPacketClient
 {
@@ -55,8 +59,15 @@
     /// Sends a request on the flow, through any host, and waits for its answer; received() is the answer then.
     ClientEvent exchange(const Endpoint &host, const std::string &request);
 
+    /// The same, each packet through the host that is chosen for it.
+    ClientEvent open(const HostOfPacket &host, const Endpoint &route);
+    ClientEvent exchange(const HostOfPacket &host, const std::string &request);
+
     const std::string &received() const;
 
+    /// The address from which the last packet came.
+    std::uint32_t lastSender() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- a/src/standin/platform/store.cpp
+++ b/src/standin/platform/store.cpp
@@ -320,28 +320,35 @@
     return impl_->held;
 }
 
-std::string standinUpstreamEntry(const std::string &service, const Endpoint &address, const std::string &zone, const std::string &state)
+std::string standinUpstreamEntry(const std::string &service, const Endpoint &address, const std::string &zone, const std::string &state,
+                                 std::uint64_t born)
 {
     return Json{{"service", service},  {"address", endpointToString(address)},
                 {"zone", zone},        {"version", "v1"},
                 {"concurrency", 2},    {"state", state},
                 {"warmup-left-ms", 0}, {"sequence", 1},
-                {"born", 1000}}
+                {"born", born}}
         .dump();
 }
 
+std::string standinConfig(std::uint64_t version, const std::vector<StandinRoute> &routes)
+{
+    auto list = Json::array();
+    for (const auto &route : routes) {
+        list.push_back({{"name", fmt::format("r-{}-{}", route.service, list.size())},
+                        {"host", addressToString(route.address.address)},
+                        {"prefix", fmt::format("/{}/", route.address.port)},
+                        {"type", "idempotent"},
+                        {"timeout-ms", 1500},
+                        {"priority", 2},
+                        {"service", route.service}});
+    }
+    return Json{{"version", version}, {"routes", list}, {"services", Json::array()}, {"limits", {{"idle-timeout-ms", 15000}}}}.dump();
+}
+
 std::string standinConfig(std::uint64_t version, const Endpoint &route, const std::string &service)
 {
-    const Json entry{{"name", "r-" + service},
-                     {"host", addressToString(route.address)},
-                     {"prefix", fmt::format("/{}/", route.port)},
-                     {"type", "idempotent"},
-                     {"timeout-ms", 1500},
-                     {"priority", 2},
-                     {"service", service}};
-    return Json{
-        {"version", version}, {"routes", Json::array({entry})}, {"services", Json::array()}, {"limits", {{"idle-timeout-ms", 15000}}}}
-        .dump();
+    return standinConfig(version, std::vector<StandinRoute>{{route, service}});
 }
 
 } // namespace medlarway
--- a/src/standin/platform/store.h
+++ b/src/standin/platform/store.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace medlarway
 {
@@ -73,11 +74,22 @@
     std::shared_ptr<Impl> impl_;
 };
 
-/// The store's text of an upstream's entry. The id goes into the key, "servers/ID".
+/// The store's text of an upstream's entry. The id goes into the key, "servers/ID"; born are the milliseconds of its start.
 std::string standinUpstreamEntry(const std::string &service, const Endpoint &address, const std::string &zone,
-                                 const std::string &state = "ready");
+                                 const std::string &state = "ready", std::uint64_t born = 1000);
 
-/// The store's text of a configuration with one route to one service.
+/// A route of the configuration.
+struct StandinRoute {
+    Endpoint address;
+    std::string service;
+
+    friend bool operator==(const StandinRoute &, const StandinRoute &) = default;
+};
+
+/// The store's text of a configuration.
+std::string standinConfig(std::uint64_t version, const std::vector<StandinRoute> &routes);
+
+/// The same with one route to one service.
 std::string standinConfig(std::uint64_t version, const Endpoint &route, const std::string &service);
 
 } // namespace medlarway
