entry, steering: a flow is where its client says, also after a pause of the host

A host was paused with openings in its socket; their clients had opened through another host by then. On waking it forwarded the old openings; their answers brought clients a second token, and its own record of such a flow named the upstream that it had chosen itself, whatever token the client's first packet carried. Two packets of the same client through two hosts are enough, so it needs no pause: a stop between an opening and its copy does. Ruled out: the router of the soak (host 1 was paused from 7.05 s on, flow 11 ran through host 4, the break came as host 1 was back). Change: (1) the first packet's token is believed where it names an upstream of the route; once an answer was seen, later tokens are not.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -100,6 +100,7 @@
 // datagram so that it does not move.
 void EntryHost::onBatch(std::span<std::span<std::uint8_t>> datagrams, std::vector<OutgoingPacket> &outgoing)
 {
+    notePause();
     const auto now = monotonicNow();
     lastPacket_ = now;
     updateCertainty();
@@ -108,9 +109,23 @@
     for (const auto datagram : datagrams) {
         onDatagram(datagram, outgoing, now);
     }
+    oldPackets_ = oldPackets_ && datagrams.size() == PacketSocket::kBatch;
     takeNews();
 }
 
+// What this host knew before a pause may be old, and so are the connection to the store and the packets that wait.
+void EntryHost::notePause()
+{
+    const auto pause = pauses_.noteRunning(timeSinceBoot());
+    if (!pause) {
+        return;
+    }
+    logEvent(Event::WokeLate, {field("milliseconds", std::chrono::duration_cast<std::chrono::milliseconds>(*pause).count())});
+    wokeAt_ = monotonicNow();
+    oldPackets_ = true;
+    feed_.reconnect();
+}
+
 void EntryHost::onDatagram(std::span<std::uint8_t> datagram, std::vector<OutgoingPacket> &outgoing, Time now)
 {
     const auto packet = decodePacket(datagram);
@@ -118,6 +133,12 @@
         reportError(ErrorKind::DatagramTooLarge, fmt::format("not a client's packet, {} bytes", datagram.size()));
         return;
     }
+    // The client has sent its opening again through another host by now. An upstream that took this one too would answer, and its token
+    // would lead the open flow astray.
+    if (oldPackets_ && packet->opens) {
+        count(Counter::OpeningsDropped);
+        return;
+    }
     const auto step = steering_.onPacket(*packet, now);
     if (step.action == SteeringAction::Forward) {
         const auto &upstream = steering_.directory().at(step.upstream);
@@ -132,6 +153,7 @@
 
 void EntryHost::onTick()
 {
+    notePause();
     const auto now = monotonicNow();
     updateCertainty();
     steering_.tick(now);
@@ -150,7 +172,7 @@
 
 void EntryHost::updateCertainty()
 {
-    steering_.setCertainUntil(feed_.heardAt() == Time{} ? Time{} : feed_.heardAt() + kCertainty);
+    steering_.setCertainUntil(feed_.heardAt() <= wokeAt_ ? Time{} : feed_.heardAt() + kCertainty);
 }
 
 void EntryHost::takeNews()
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -2,6 +2,7 @@
 
 #include "entry/entry_pages.h"
 #include "entry/packet_socket.h"
+#include "entry/pause_watch.h"
 #include "entry/peer_hosts.h"
 #include "entry/peer_snapshots.h"
 #include "entry/upstream_probe.h"
@@ -43,6 +44,7 @@
     bool ready() const;
     void takeConfig(const RouteConfig &config);
     void takeGone(const std::string &id, std::uint64_t revision);
+    void notePause();
     void updateCertainty();
     void takeNews();
     void probe(UpstreamIndex index);
@@ -72,6 +74,9 @@
     std::vector<PacketHeader> resets_; ///< of the batch that is being handled
     bool upstreamsRead_ = false; ///< from the platform or a peer
     std::uint64_t snapshotRevision_ = 0; ///< of the newest snapshot that a peer gave
+    PauseWatch pauses_;
+    Time wokeAt_; ///< when the process last ran again after a pause
+    bool oldPackets_ = false; ///< what waits in the socket came during the pause
     bool stopping_ = false;
     Time stopAsked_;
     Time lastPacket_;
--- a/src/entry/packet_socket.h
+++ b/src/entry/packet_socket.h
@@ -34,6 +34,9 @@
 class PacketSocket
 {
 public:
+    /// Datagrams in one batch at most; one with fewer has emptied the socket.
+    static constexpr std::size_t kBatch = 32;
+
     /// Called for each batch with the datagrams in it, in the order in which they came; they may be changed in place.
     /// What is put into the second argument is sent once the call returns.
     using Handler = std::function<void(std::span<std::span<std::uint8_t>> datagrams, std::vector<OutgoingPacket> &outgoing)>;
@@ -53,7 +56,6 @@
     }
 
 private:
-    static constexpr std::size_t kBatch = 32;
     static constexpr std::size_t kBufferBytes = 1536; ///< above the largest packet, so that a longer one is noticed
 
     void awaitReadable();
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -44,6 +44,13 @@
     asio::co_spawn(context_, follow(), asio::detached);
 }
 
+void StoreFeed::reconnect()
+{
+    reconnects_ = true;
+    client_.close();
+    timer_.cancel();
+}
+
 void StoreFeed::stop()
 {
     running_ = false;
@@ -57,6 +64,9 @@
 {
     while (running_) {
         const bool good = co_await step();
+        if (std::exchange(reconnects_, false)) {
+            continue;
+        }
         const auto rest = good ? (changed_ ? options_.pace : Duration{}) : backOffAfter(failures_, options_.patience, random_);
         if (rest > Duration{}) {
             timer_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(rest));
@@ -190,6 +200,9 @@
 
 bool StoreFeed::noteFailure(std::string_view call, unsigned status)
 {
+    if (reconnects_) {
+        return false; // no fault of the store's
+    }
     ++failures_;
     reportError(ErrorKind::PlatformUnreachable, fmt::format("{}: {}", call, status == 0 ? "no answer" : fmt::format("status {}", status)));
     return false;
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -44,6 +44,9 @@
     /// hosts that start together need not all read everything.
     void adopt(std::uint64_t asOf);
 
+    /// Gives up the connection, which may have been lost unnoticed, and asks again at once.
+    void reconnect();
+
     /// Ends what runs.
     void stop();
 
@@ -97,6 +100,7 @@
     bool changed_ = false; ///< by the last answer
     Time heardAt_;
     bool running_ = false;
+    bool reconnects_ = false; ///< the connection was given up on purpose
 };
 
 } // namespace medlarway
--- a/src/standin/platform/packets.cpp
+++ b/src/standin/platform/packets.cpp
@@ -128,6 +128,7 @@
             return;
         }
         const bool opens = (packet->flags & kSyn) != 0;
+        openings += opens ? 1 : 0;
         if (!opens && packet->data.empty()) {
             return;
         }
@@ -151,6 +152,7 @@
     tcp::acceptor acceptor;
     std::array<std::uint8_t, kBufferBytes> buffer{};
     std::atomic<std::size_t> foreign{0};
+    std::atomic<std::size_t> openings{0};
     std::thread thread;
 };
 
@@ -176,6 +178,11 @@
     return impl_->foreign;
 }
 
+std::size_t StandinPacketUpstream::openings() const
+{
+    return impl_->openings;
+}
+
 struct StandinPacketClient::Impl {
     explicit Impl(const Endpoint &listen)
         : address(listen.address)
--- a/src/standin/platform/packets.h
+++ b/src/standin/platform/packets.h
@@ -27,6 +27,9 @@
     /// Packets that named another upstream, as they must not come.
     std::size_t foreignPackets() const;
 
+    /// Openings that it answered, copies included.
+    std::size_t openings() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -240,12 +240,16 @@
     return &flow;
 }
 
+// The token tells whose answer the client took: that of an opening which went elsewhere first, or through another host.
 void FlowSteering::takeOpened(SteeredFlow &flow, const FlowPacket &packet, Time now)
 {
-    if (flow.earlier != kNoUpstream && packet.token == directory_.at(flow.earlier).token) {
-        const auto taken = flow.earlier;
-        flow.earlier = flow.upstream;
-        moveTo(flow, taken);
+    if (packet.token != directory_.at(flow.upstream).token) {
+        const bool isEarlier = flow.earlier != kNoUpstream && packet.token == directory_.at(flow.earlier).token;
+        const auto taken = isEarlier ? flow.earlier : directory_.findToken(packet.token);
+        if (taken != kNoUpstream && routeHas(packet.flow.destination, taken)) {
+            flow.earlier = flow.upstream;
+            moveTo(flow, taken);
+        }
     }
     flow.opening = false;
     flow.pinned = true;
@@ -256,9 +260,10 @@
 void FlowSteering::noteClient(SteeredFlow &flow, const FlowPacket &packet, Time now)
 {
     flow.heard = now;
-    // Step 1. A higher acknowledgement shows an answer.
+    // Step 1. A higher acknowledgement shows an answer: the flow is where this host sends it.
     if (isAfter(packet.acknowledged, flow.acknowledged)) {
         flow.acknowledged = packet.acknowledged;
+        flow.pinned = true;
         progress(flow, now);
     }
     // Step 2. New data is a request, the same data again is one without an answer.
--- a/src/steering/flow_steering.h
+++ b/src/steering/flow_steering.h
@@ -69,7 +69,7 @@
     float share = 0; ///< what it adds to its upstream's expected load
     Time heard;
     bool opening = false; ///< the client has not shown an answer to its opening
-    bool pinned = false; ///< this host saw which opening the client took
+    bool pinned = false; ///< this host saw which opening the client took, or an answer: later tokens say nothing
     bool running = false; ///< a request waits for its answer
     bool stalled = false; ///< what waits was sent again
     bool closing = false; ///< the client has sent all
--- a/tests/entry_daemon/entry_host_test.cpp
+++ b/tests/entry_daemon/entry_host_test.cpp
@@ -147,6 +147,17 @@
         CHECK(waitUntil([&] { return host.log().find("SettingsReloaded") != std::string::npos; }));
         CHECK(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
     }
+    SUBCASE("forwards no opening that came while it was paused, as the client has asked another host by now")
+    {
+        const auto before = upstream.openings();
+        host.signal(SIGSTOP);
+        CHECK(client.open(packetsOf(first), kRoute) == ClientEvent::Nothing);
+        host.signal(SIGCONT);
+        CHECK(waitUntil([&] { return host.log().find("WokeLate") != std::string::npos; }));
+        REQUIRE(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
+        CHECK(upstream.openings() <= before + 2); // the new one, and a copy of it where the answer was late
+        CHECK(client.exchange(packetsOf(first), "hello") == ClientEvent::Data);
+    }
     SUBCASE("shows what it does to operators")
     {
         REQUIRE(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
--- a/tests/soak/platform.cpp
+++ b/tests/soak/platform.cpp
@@ -137,13 +137,14 @@
 
 void SoakPlatform::changeConfig()
 {
+    const auto version = config().first;
     {
         const std::lock_guard lock(mutex_);
         if (routes_.size() > 2) {
             routes_.pop_back();
         } else {
-            const Endpoint added{kRouteTwo.address + 1 + static_cast<std::uint32_t>(version_), kRouteTwo.port};
-            routes_.push_back({added, version_ % 2 == 0 ? "one" : "two"});
+            const Endpoint added{kRouteTwo.address + 1 + static_cast<std::uint32_t>(version), kRouteTwo.port};
+            routes_.push_back({added, version % 2 == 0 ? "one" : "two"});
         }
     }
     putConfig();
@@ -151,18 +152,18 @@
 
 void SoakPlatform::putConfig()
 {
-    std::uint64_t version = 0;
+    auto version = config().first;
     std::string text;
     {
         const std::lock_guard lock(mutex_);
-        version = version_ + 1 + random_.below(3);
+        version += 1 + random_.below(3);
         text = standinConfig(version, routes_);
         for (const auto &route : routes_) {
             everAllowed_[route.address.address].insert(route.service);
         }
     }
     run([&] { store_.put("op/config", text); });
-    const std::lock_guard lock(mutex_);
+    const std::lock_guard lock(configMutex_);
     version_ = version;
     versionAt_ = now();
 }
@@ -294,7 +295,7 @@
 
 std::pair<std::uint64_t, Time> SoakPlatform::config() const
 {
-    const std::lock_guard lock(mutex_);
+    const std::lock_guard lock(configMutex_);
     return {version_, versionAt_};
 }
 
--- a/tests/soak/platform.h
+++ b/tests/soak/platform.h
@@ -120,13 +120,14 @@
     std::map<std::string, Upstream> upstreams_;
     std::map<std::uint32_t, std::set<std::string>> everAllowed_; ///< services that a route's address ever had
     std::vector<StandinRoute> routes_;
-    std::uint64_t version_ = 0;
-    Time versionAt_;
     std::set<int> cutZones_;
     bool loss_ = false;
     Random random_;
     std::uint64_t lastId_ = 0;
     int nextAddress_ = 0;
+    mutable std::mutex configMutex_; ///< guards what follows; never held while the platform's thread is waited for, which asks for it
+    std::uint64_t version_ = 0;
+    Time versionAt_;
     std::thread thread_;
 };
 
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -61,6 +61,12 @@
     SoakOptions options;
     options.hosts = static_cast<int>(setting("SOAK_HOSTS", static_cast<std::uint64_t>(options.hosts)));
 
+    SUBCASE("on seeds that failed before")
+    {
+        // 23: a host that woke after a pause forwarded old openings, and then a flow that had been opened through another host.
+        options.seed = 23;
+        checkSeed(options);
+    }
     SUBCASE("whatever happens to them")
     {
         const auto first = setting("SOAK_SEED", 1);
--- a/tests/steering/flow_steering_test.cpp
+++ b/tests/steering/flow_steering_test.cpp
@@ -130,6 +130,49 @@
     }
 }
 
+TEST_CASE("an opening that another host placed as well")
+{
+    auto steering = makeSteering();
+    steering.directory().apply(entryOf("i-1", 1), at(0s));
+    steering.directory().apply(entryOf("i-2", 2), at(0s));
+    Client client(40001);
+    const auto here = steering.onPacket(client.open(), at(0s)).upstream;
+    const auto there = here == 0 ? 1U : 0U;
+    const auto tokenOfThere = steering.directory().at(there).token;
+
+    SUBCASE("is where the client's first packet says that it is")
+    {
+        CHECK(steering.onPacket(client.acknowledge(tokenOfThere), at(10ms)).upstream == there);
+        CHECK(steering.onPacket(client.request(), at(20ms)).upstream == there);
+        CHECK(steering.directory().at(here).flows == 0);
+    }
+    SUBCASE("stays here where the token is of another service, or of nobody known")
+    {
+        steering.directory().apply(entryOf("i-3", 3, "gallery"), at(0s));
+        CHECK(steering.onPacket(client.acknowledge(tokenOf("i-3")), at(10ms)).upstream == here);
+        CHECK(steering.onPacket(client.acknowledge(tokenOf("i-9")), at(20ms)).upstream == here);
+    }
+    SUBCASE("is found again after a late copy of it came when the flow was open")
+    {
+        for (std::uint16_t port = 40002; port < 40022; ++port) {
+            Client other(port);
+            other.acknowledge(tokenOfThere);
+            CHECK(steering.onPacket(other.request(), at(10ms)).upstream == there);
+            steering.onPacket(other.open(), at(20ms));
+            CHECK(steering.onPacket(other.request(), at(30ms)).upstream == there);
+        }
+    }
+    SUBCASE("stays where an answer showed that it is, whatever a late answer to a copy brings")
+    {
+        Client other(40002);
+        other.acknowledge(tokenOfThere);
+        steering.onPacket(other.request(), at(10ms));
+        steering.onPacket(other.takeAnswer(), at(40ms));
+        other.acknowledge(steering.directory().at(here).token);
+        CHECK(steering.onPacket(other.request(), at(50ms)).upstream == there);
+    }
+}
+
 TEST_CASE("an upstream")
 {
     auto steering = makeSteering();
