entry: the lines of flows have a file of their own; reading the change again

Cause: entry_host.cpp had taken over how flows are logged, with two functions that made nearly the same line. Change: entry/flow_log writes all four; the drop of an opening from before a pause has a line too (reason=paused). Two moves in tests/soak that a const prevented, an unused member. Behaviour as before otherwise.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -3,6 +3,7 @@
 #include "base/errors.h"
 #include "base/version.h"
 #include "entry/entry_pages.h"
+#include "entry/flow_log.h"
 #include "peering/codec.h"
 #include "platform/readiness.h"
 #include "yaml/fault.h"
@@ -41,11 +42,6 @@
 // Flows on one page for operators.
 constexpr std::size_t kMostFlowsShown = 1000;
 
-std::string flowName(const FlowId &flow)
-{
-    return endpointToString(flow.client) + ">" + endpointToString(flow.destination);
-}
-
 Time monotonicNow()
 {
     return std::chrono::steady_clock::now();
@@ -143,10 +139,11 @@
     // would lead the open flow astray.
     if (oldPackets_ && packet->opens) {
         count(Counter::OpeningsDropped);
+        logFlow(Event::FlowUnanswered, steering_, {packet->flow, "paused", kNoUpstream, feed_.heardAt()}, now);
         return;
     }
     const auto step = steering_.onPacket(*packet, now);
-    logStep(*packet, step, now);
+    logStep(steering_, packet->flow, step, feed_.heardAt(), now);
     if (step.action == SteeringAction::Forward) {
         const auto &upstream = steering_.directory().at(step.upstream);
         writeToken(datagram, upstream.token);
@@ -158,49 +155,6 @@
     }
 }
 
-std::int64_t EntryHost::storeAge(Time now) const
-{
-    constexpr std::int64_t kNever = -1;
-    return feed_.heardAt() == Time{} ? kNever : std::chrono::duration_cast<std::chrono::milliseconds>(now - feed_.heardAt()).count();
-}
-
-// One line for each decision on a flow, none for the packets that follow it.
-void EntryHost::logStep(const FlowPacket &packet, const SteeringStep &step, Time now) const
-{
-    if (step.reason == SteeringReason::Carried) {
-        return;
-    }
-    if (step.action == SteeringAction::Reset) {
-        return logReset(packet.flow, reasonName(step.reason), step.upstream, now);
-    }
-    const auto event = step.action == SteeringAction::Drop           ? Event::FlowUnanswered
-                       : step.reason == SteeringReason::FoundByToken ? Event::FlowFound
-                                                                     : Event::FlowPlaced;
-    if (!logTakes(event)) {
-        return;
-    }
-    static const KnownUpstream kNobody;
-    const auto &upstream = step.upstream == kNoUpstream ? kNobody : steering_.directory().at(step.upstream);
-    logEvent(event, {field("flow", flowName(packet.flow)), field("reason", reasonName(step.reason)), field("upstream", upstream.entry.id),
-                     field("zone", upstream.entry.zone.name),
-                     field("token", fmt::format("{:08x}", step.upstream == kNoUpstream ? packet.token : upstream.token)),
-                     field("running", upstream.running), field("expected", fmt::format("{:.2f}", upstream.expected)),
-                     field("version", steering_.routes().version()), field("entry-revision", upstream.entry.revision),
-                     field("store-age-ms", storeAge(now))});
-}
-
-void EntryHost::logReset(const FlowId &flow, std::string_view reason, UpstreamIndex upstream, Time now) const
-{
-    if (!logTakes(Event::FlowReset)) {
-        return;
-    }
-    static const KnownUpstream kNobody;
-    const auto &known = upstream == kNoUpstream ? kNobody : steering_.directory().at(upstream);
-    logEvent(Event::FlowReset, {field("flow", flowName(flow)), field("reason", reason), field("upstream", known.entry.id),
-                                field("stalled", known.life.stalledFlows), field("version", steering_.routes().version()),
-                                field("entry-revision", known.entry.revision), field("store-age-ms", storeAge(now))});
-}
-
 void EntryHost::onTick()
 {
     notePause();
@@ -265,7 +219,7 @@
     resets.reserve(flows.size());
     std::vector<OutgoingPacket> outgoing;
     for (const auto &given : flows) {
-        logReset(given.flow, "upstream-unreachable", index, monotonicNow());
+        logFlow(Event::FlowReset, steering_, {given.flow, "upstream-unreachable", index, feed_.heardAt()}, monotonicNow());
         resets.push_back(resetOf(given.flow, given.acknowledged));
         outgoing.push_back({Endpoint{given.flow.client.address, settings_.packets.port}, {}, 0, resets.back()});
     }
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -44,9 +44,6 @@
     bool ready() const;
     void takeConfig(const RouteConfig &config);
     void takeGone(const std::string &id, std::uint64_t revision);
-    void logStep(const FlowPacket &packet, const SteeringStep &step, Time now) const;
-    void logReset(const FlowId &flow, std::string_view reason, UpstreamIndex upstream, Time now) const;
-    std::int64_t storeAge(Time now) const;
     void notePause();
     void updateCertainty();
     void takeNews();
--- a/tests/soak/platform.cpp
+++ b/tests/soak/platform.cpp
@@ -176,7 +176,7 @@
 std::string SoakPlatform::startUpstream(const std::string &service)
 {
     const std::lock_guard lock(mutex_);
-    const auto id = nextId();
+    auto id = nextId();
     Upstream upstream;
     upstream.service = service;
     upstream.zone = zoneOf(static_cast<int>(lastId_), options_.zones);
@@ -237,7 +237,7 @@
 {
     const std::lock_guard lock(mutex_);
     const auto &before = upstreams_.at(ended);
-    const auto id = nextId();
+    auto id = nextId();
     Upstream upstream;
     upstream.service = before.service == "one" ? "two" : "one";
     upstream.zone = before.zone;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -76,7 +76,6 @@
     Judge &judge_;
     std::vector<Later> later_;
     int storeFaults_ = 0;
-    int pathFaults_ = 0;
 };
 
 int Injector::hostOf(const Fault &fault) const
--- a/tests/story/flow_story_test.cpp
+++ b/tests/story/flow_story_test.cpp
@@ -66,6 +66,7 @@
     {
         const auto story = flowStory(lines, "100.64.0.7:40001");
         std::vector<std::string> told;
+        told.reserve(story.size());
         for (const auto &line : story) {
             told.push_back(line.host + " " + line.name);
         }
