lint: sources are known again in another checkout

Cause: the lint cache never hit in a fresh clone: with its base folder set, ccache writes what a source includes relative to the build folder, which the script took for names from the root; such sources were looked at each time. Change: those names are resolved. Only the script changes. Measured: not yet in a clone; the first run of it there shows how many sources are known.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -20,6 +20,7 @@
     /#deps/ { source = ""; next }
     /^ / {
         sub(/^ +/, "")
+        if (sub(/^\.\.\/\.\.\//, "")) $0 = root $0 # as ccache writes it, from the build folder
         if (source == "") source = substr($0, length(root) + 1)
         print source "\t" $0
     }' | sort -u > "$work/includes"
