steering: one way to follow a flow's token

Cause: the first packet after an opening and later packets of a flow learnt by its token were moved by two copies of the same steps, and the first had a case of its own before it: the upstream that an earlier copy of the opening went to, remembered in each flow though its token finds it. Change: followToken for any flow that is not pinned; SteeredFlow loses `earlier`. What a packet does stays as it was, but where two upstreams have the same 32-bit token: then the listed one is taken, as everywhere else. Ruled out: that the directory may have forgotten the earlier one: an upstream is found by its token for 75 s after it went, an opening lives 3 s. Measured: steering 176, entry_daemon 45 assertions pass, none changed.

--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -131,7 +131,6 @@
     if (other == kNoUpstream) {
         return {SteeringAction::Forward, SteeringReason::OpenedLike, flow.upstream};
     }
-    flow.earlier = flow.upstream;
     moveTo(flow, other);
     return {SteeringAction::Forward, SteeringReason::OpenedAgain, other};
 }
@@ -149,13 +148,11 @@
         forget(packet.flow);
         return {SteeringAction::Reset, SteeringReason::RouteChanged, kNoUpstream};
     }
+    if (!flow.pinned) {
+        followToken(flow, packet);
+    }
     if (flow.opening) {
         takeOpened(flow, packet, now);
-    } else if (!flow.pinned && packet.token != directory_.at(flow.upstream).token) {
-        const auto named = directory_.findToken(packet.token);
-        if (named != kNoUpstream && routeHas(packet.flow.destination, named)) {
-            moveTo(flow, named);
-        }
     }
     // Step 2. What the packet shows of the upstream.
     noteClient(flow, packet, now);
@@ -245,16 +242,19 @@
 }
 
 // The token tells whose answer the client took: that of an opening which went elsewhere first, or through another host.
-void FlowSteering::takeOpened(SteeredFlow &flow, const FlowPacket &packet, Time now)
+void FlowSteering::followToken(SteeredFlow &flow, const FlowPacket &packet)
 {
-    if (packet.token != directory_.at(flow.upstream).token) {
-        const bool isEarlier = flow.earlier != kNoUpstream && packet.token == directory_.at(flow.earlier).token;
-        const auto taken = isEarlier ? flow.earlier : directory_.findToken(packet.token);
-        if (taken != kNoUpstream && routeHas(packet.flow.destination, taken)) {
-            flow.earlier = flow.upstream;
-            moveTo(flow, taken);
-        }
+    if (packet.token == directory_.at(flow.upstream).token) {
+        return;
     }
+    const auto named = directory_.findToken(packet.token);
+    if (named != kNoUpstream && routeHas(packet.flow.destination, named)) {
+        moveTo(flow, named);
+    }
+}
+
+void FlowSteering::takeOpened(SteeredFlow &flow, const FlowPacket &packet, Time now)
+{
     flow.opening = false;
     flow.pinned = true;
     flow.acknowledged = packet.acknowledged;
--- a/src/steering/flow_steering.h
+++ b/src/steering/flow_steering.h
@@ -59,7 +59,6 @@
 /// What this host remembers of a flow. Any host can lose it: the token finds the upstream again.
 struct SteeredFlow {
     UpstreamIndex upstream = kNoUpstream;
-    UpstreamIndex earlier = kNoUpstream; ///< where an earlier copy of the opening went
     std::uint32_t usage = 0; ///< of the flow's route
     std::uint32_t firstSequence = 0;
     std::uint32_t sentUpTo = 0; ///< the first byte that the client has not sent yet
@@ -179,6 +178,7 @@
     SteeringStep unrouted(const FlowPacket &packet, Time now);
     UpstreamIndex place(const FlowRoute &route, std::uint32_t usage, UpstreamIndex avoid, Time now);
     SteeredFlow *remember(const FlowId &id, UpstreamIndex upstream, Time now);
+    void followToken(SteeredFlow &flow, const FlowPacket &packet);
     void takeOpened(SteeredFlow &flow, const FlowPacket &packet, Time now);
     void noteClient(SteeredFlow &flow, const FlowPacket &packet, Time now);
     void progress(SteeredFlow &flow, Time now);
