--- a/src/base/time.h
+++ b/src/base/time.h
@@ -11,4 +11,16 @@
 /// A moment of a host's monotonic clock. Moments of two hosts can't be compared.
 using Time = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+/// This moment of the monotonic clock.
+inline Time monotonicNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// A span as timers of the monotonic clock take it.
+inline std::chrono::steady_clock::duration toSteady(Duration span)
+{
+    return std::chrono::duration_cast<std::chrono::steady_clock::duration>(span);
+}
+
 } // namespace medlarway
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -42,11 +42,6 @@
 // Flows on one page for operators.
 constexpr std::size_t kMostFlowsShown = 1000;
 
-Time monotonicNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 SteeringOptions steeringOptions(const EntrySettings &settings)
 {
     SteeringOptions options;
@@ -167,7 +162,7 @@
         context_.stop();
         return;
     }
-    ticker_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(kSteeringTick));
+    ticker_.expires_after(toSteady(kSteeringTick));
     ticker_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             onTick();
--- a/src/entry/peer_snapshots.cpp
+++ b/src/entry/peer_snapshots.cpp
@@ -29,11 +29,6 @@
 // 9,100 upstreams take 0.8 MB.
 constexpr std::size_t kLongestSnapshot = 4U << 20U;
 
-Time monotonicNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 std::optional<SnapshotRequest> parseSnapshotTarget(const std::string &target)
--- a/src/pages/http_reader.cpp
+++ b/src/pages/http_reader.cpp
@@ -20,11 +20,6 @@
 constexpr std::uint64_t kLongestBodyBytes = 4ULL << 20U;
 constexpr std::uint32_t kLongestHeadBytes = 8192;
 
-std::chrono::steady_clock::duration toSteady(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::steady_clock::duration>(duration);
-}
-
 } // namespace
 
 HttpReader::HttpReader(asio::io_context &context, const Endpoint &address)
--- a/src/platform/file_source.cpp
+++ b/src/platform/file_source.cpp
@@ -123,7 +123,7 @@
     }
     readIfChanged();
     deliver();
-    timer_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(options_.pollInterval));
+    timer_.expires_after(toSteady(options_.pollInterval));
     timer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             look();
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -69,7 +69,7 @@
         }
         const auto rest = good ? (changed_ ? options_.pace : Duration{}) : backOffAfter(failures_, options_.patience, random_);
         if (rest > Duration{}) {
-            timer_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(rest));
+            timer_.expires_after(toSteady(rest));
             co_await timer_.async_wait(kWaitForCompletion);
         }
     }
@@ -191,7 +191,7 @@
 {
     asOf_ = asOf;
     changed_ = changed;
-    heardAt_ = std::chrono::steady_clock::now();
+    heardAt_ = monotonicNow();
     if (failures_ > 0) {
         logEvent(Event::PlatformRecovered, {field("failures", failures_), field("revision", asOf)});
     }
--- a/src/platform/store_source.cpp
+++ b/src/platform/store_source.cpp
@@ -24,17 +24,10 @@
 
 namespace asio = boost::asio;
 
-using SteadyClock = std::chrono::steady_clock;
-
 constexpr auto kRedeliverInterval = std::chrono::milliseconds{100};
 constexpr auto kUnwaitedPause = std::chrono::seconds{1};
 constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
 
-SteadyClock::duration toSteady(Duration duration)
-{
-    return std::chrono::duration_cast<SteadyClock::duration>(duration);
-}
-
 // One key that is watched, with its own connection.
 struct KeyWatch {
     KeyWatch(asio::io_context &context, const Endpoint &store, const WatchedKey &watched)
@@ -151,12 +144,12 @@
 asio::awaitable<void> StoreSource::run(Watch watch)
 {
     while (watch->active) {
-        const auto begun = SteadyClock::now();
+        const auto begun = monotonicNow();
         const auto reply = co_await read(watch);
         if (!watch->active) {
             break;
         }
-        const auto pause = take(*watch, reply, SteadyClock::now() - begun);
+        const auto pause = take(*watch, reply, monotonicNow() - begun);
         co_await redeliver(watch);
         if (!watch->active) {
             break;
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -33,11 +33,6 @@
 constexpr auto kWatchInterval = 250ms;
 constexpr unsigned kStatusOk = 200;
 
-Time now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 Endpoint endpointAt(const std::string &address, std::uint16_t port)
 {
     return {parseAddress(address).value(), port};
@@ -96,7 +91,7 @@
     entry.process = std::make_unique<DaemonProcess>(settingsOf(entry.address, zoneOf(host, options_.zones), store, seeds), "");
     const std::lock_guard lock(mutex_);
     entry.phase = Phase::Runs;
-    entry.since = now();
+    entry.since = monotonicNow();
     entry.paused = false;
     ++entry.starts;
 }
@@ -114,7 +109,7 @@
     const std::lock_guard lock(mutex_);
     disturb(entry, host, true);
     entry.phase = Phase::Down;
-    entry.since = now();
+    entry.since = monotonicNow();
 }
 
 void SoakFleet::stop(int host)
@@ -128,7 +123,7 @@
     disturb(entry, host, false);
     entry.process->signal(SIGTERM);
     entry.phase = Phase::Stops;
-    entry.since = now();
+    entry.since = monotonicNow();
 }
 
 void SoakFleet::pause(int host)
@@ -164,7 +159,7 @@
 {
     for (int host = 0; host < options_.hosts; ++host) {
         auto &entry = hosts_[static_cast<std::size_t>(host)];
-        const auto span = now() - entry.since;
+        const auto span = monotonicNow() - entry.since;
         const auto exit = entry.phase == Phase::Down ? std::nullopt : entry.process->waitExit(0s);
         if (exit && entry.phase == Phase::Runs) {
             judge_.blame(fmt::format("host {} ended by itself with {}: {}", host, *exit, log(host)));
@@ -178,9 +173,9 @@
         if (exit || (entry.phase == Phase::Stops && span > kGrace + kGraceSlack)) {
             const std::lock_guard lock(mutex_);
             entry.phase = Phase::Down;
-            entry.since = now();
+            entry.since = monotonicNow();
         }
-        if (entry.phase == Phase::Down && now() - entry.since > kRestartAfter) {
+        if (entry.phase == Phase::Down && monotonicNow() - entry.since > kRestartAfter) {
             start(host);
         }
     }
@@ -242,7 +237,7 @@
     highest = version;
     highestOf = starts;
     const auto [wanted, since] = platform_.config();
-    const auto late = now() - since - kConfigBound;
+    const auto late = monotonicNow() - since - kConfigBound;
     if (version < wanted && late > 0s && judge_.isCalm(hostSubject(host)) && judge_.isCalm(kStoreSubject)) {
         judge_.blame(fmt::format("configuration: host {} has version {}, {} is {:.2f} s late", host, version, wanted,
                                  std::chrono::duration<double>(late).count()));
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -6,16 +6,6 @@
 namespace medlarway::soak
 {
 
-namespace
-{
-
-Time now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-} // namespace
-
 Judge::Judge(Time begun)
     : begun_(begun)
 {
@@ -32,12 +22,12 @@
     const std::lock_guard lock(mutex_);
     auto &found = subjects_[subject];
     --found.disturbances;
-    found.calmSince = now();
+    found.calmSince = monotonicNow();
 }
 
 bool Judge::isCalm(const Subject &subject, Duration before)
 {
-    return subject.disturbances == 0 && now() - subject.calmSince >= kSettling + before;
+    return subject.disturbances == 0 && monotonicNow() - subject.calmSince >= kSettling + before;
 }
 
 bool Judge::isCalm(const std::string &subject, Duration before) const
@@ -55,7 +45,7 @@
 
 std::string Judge::line(const std::string &what) const
 {
-    return fmt::format("{:7.3f} {}", std::chrono::duration<double>(now() - begun_).count(), what);
+    return fmt::format("{:7.3f} {}", std::chrono::duration<double>(monotonicNow() - begun_).count(), what);
 }
 
 void Judge::blame(const std::string &what)
--- a/tests/soak/platform.cpp
+++ b/tests/soak/platform.cpp
@@ -25,11 +25,6 @@
 constexpr std::size_t kFlagsAt = kRecipientBytes + 30;
 constexpr std::uint8_t kSyn = 2;
 
-Time now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 Endpoint addressOf(int number)
 {
     return {parseAddress(loopbackAddress(number)).value(), 0};
@@ -165,7 +160,7 @@
     run([&] { store_.put("op/config", text); });
     const std::lock_guard lock(configMutex_);
     version_ = version;
-    versionAt_ = now();
+    versionAt_ = monotonicNow();
 }
 
 std::string SoakPlatform::nextId()
@@ -216,7 +211,7 @@
     auto &upstream = upstreams_.at(id);
     upstream.draining = true;
     publish(id, upstream);
-    upstream.drainKnownAt = now();
+    upstream.drainKnownAt = monotonicNow();
 }
 
 void SoakPlatform::endUpstream(const std::string &id)
@@ -332,10 +327,10 @@
                                  addressToString(destination), host));
     }
     const bool opens = (datagram[kFlagsAt] & kSyn) != 0;
-    if (opens && upstream.draining && now() - upstream.drainKnownAt > kDrainBound && judge_.isCalm(hostSubject(host))
+    if (opens && upstream.draining && monotonicNow() - upstream.drainKnownAt > kDrainBound && judge_.isCalm(hostSubject(host))
         && judge_.isCalm(kStoreSubject)) {
         judge_.blame(fmt::format("drain: {} got an opening from host {} after {:.2f} s", id, host,
-                                 std::chrono::duration<double>(now() - upstream.drainKnownAt).count()));
+                                 std::chrono::duration<double>(monotonicNow() - upstream.drainKnownAt).count()));
     }
 }
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -25,11 +25,6 @@
 constexpr auto kRecovery = 12s; // as the users' bound has it
 constexpr auto kSlowStore = 150ms;
 
-Time now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 // Does the faults when they are due, and what follows from them later.
 class Injector
 {
@@ -91,14 +86,14 @@
 
 void Injector::after(Duration span, std::function<void()> act)
 {
-    later_.push_back({now() + span, std::move(act)});
+    later_.push_back({monotonicNow() + span, std::move(act)});
 }
 
 void Injector::step()
 {
     std::vector<Later> due;
     for (std::size_t row = 0; row < later_.size();) {
-        if (later_[row].at <= now()) {
+        if (later_[row].at <= monotonicNow()) {
             due.push_back(std::move(later_[row]));
             later_.erase(later_.begin() + static_cast<std::ptrdiff_t>(row));
         } else {
@@ -249,8 +244,8 @@
 // Every host takes packets again within the bound, and every route answers.
 void judgeRecovery(const SoakOptions &options, SoakPlatform &platform, SoakFleet &fleet, Injector &injector, Judge &judge)
 {
-    const auto healed = now();
-    while (!(fleet.allReady() && injector.idle()) && now() - healed < kRecovery) {
+    const auto healed = monotonicNow();
+    while (!(fleet.allReady() && injector.idle()) && monotonicNow() - healed < kRecovery) {
         fleet.tend();
         injector.step();
         std::this_thread::sleep_for(kStep);
@@ -264,7 +259,7 @@
         for (int zone = 0; zone < options.zones; ++zone) {
             const auto host = [&](std::uint16_t port) { return fleet.hostOf(zoneOf(zone, options.zones), port); };
             bool served = false;
-            while (!served && now() - healed < kRecovery + 2s) {
+            while (!served && monotonicNow() - healed < kRecovery + 2s) {
                 served = client.open(host, route.address) == ClientEvent::Opened && client.exchange(host, "?") == ClientEvent::Data;
             }
             if (!served) {
@@ -278,7 +273,7 @@
 
 SoakResult runSoak(const SoakOptions &options)
 {
-    Judge judge(now());
+    Judge judge(monotonicNow());
     SoakPlatform platform(options, judge);
     SoakFleet fleet(options, platform, judge);
     Injector injector(options, platform, fleet, judge);
@@ -288,13 +283,13 @@
     }
     {
         SoakCallers callers(options, platform, fleet, judge);
-        const auto begun = now();
+        const auto begun = monotonicNow();
         std::deque<Fault> faults;
         for (const auto &fault : drawFaults(options)) {
             faults.push_back(fault);
         }
-        while (!faults.empty() || now() - begun < options.length) {
-            while (!faults.empty() && faults.front().at <= now() - begun) {
+        while (!faults.empty() || monotonicNow() - begun < options.length) {
+            while (!faults.empty() && faults.front().at <= monotonicNow() - begun) {
                 injector.begin(faults.front());
                 faults.pop_front();
             }
