log: lines whose reader went away count as lost; which events are of flows is said once

Cause: where a write failed, all lines that waited were dropped without a word, also where the write was only interrupted; and the writer asked whether an event is of a flow by comparing budgets, the budget by the tens of its number. Change: an interrupted or unready write keeps the lines, any other failure counts them for event 106. isOfFlow decides both. The story of a flow neither includes the log's header nor copies each id for a look-up.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <climits>
 #include <fmt/chrono.h>
@@ -56,8 +57,8 @@
     return kNames.at(static_cast<std::size_t>(level));
 }
 
-// Writes as much as is taken without waiting: a pipe that can be written to has room for PIPE_BUF bytes. A reader that went away takes
-// the lines with it.
+// Writes as much as is taken without waiting: a pipe that can be written to has room for PIPE_BUF bytes. Lines whose reader went away
+// count as lost.
 void handOver(LogState &state)
 {
     std::size_t done = 0;
@@ -67,8 +68,13 @@
             break;
         }
         const auto size = std::min<std::size_t>(state.pending.size() - done, PIPE_BUF);
-        const auto written = (ready.revents & POLLOUT) != 0 ? write(state.descriptor, state.pending.data() + done, size) : -1;
+        const auto written = write(state.descriptor, state.pending.data() + done, size);
+        if (written < 0 && (errno == EAGAIN || errno == EINTR)) {
+            break;
+        }
         if (written < 0) {
+            state.lost += static_cast<std::uint64_t>(
+                std::count(state.pending.begin() + static_cast<std::ptrdiff_t>(done), state.pending.end(), '\n'));
             state.pending.clear();
             return;
         }
@@ -220,7 +226,7 @@
     }
     append(state, line, now);
     // Step 3. Lines of flows are many; they wait for company.
-    if (logBurst(event) == logBurst(Event::Started)) {
+    if (!isOfFlow(event)) {
         handOver(state);
     }
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -75,12 +75,18 @@
 /// Hands over what waits, as far as it is read.
 void flushLog();
 
+/// Whether the event is a decision on a flow.
+constexpr bool isOfFlow(Event event)
+{
+    return event >= Event::FlowPlaced && event <= Event::FlowUnanswered;
+}
+
 /// Lines of one event that are written within one second. Each flow has a few lines, so there is room for the flows of a busy host.
 constexpr int logBurst(Event event)
 {
     constexpr int kUsual = 20;
     constexpr int kOfFlows = 200;
-    return static_cast<int>(event) / 10 == 51 ? kOfFlows : kUsual;
+    return isOfFlow(event) ? kOfFlows : kUsual;
 }
 
 /// Bytes of lines that are kept while nobody reads them.
--- a/src/story/flow_story.cpp
+++ b/src/story/flow_story.cpp
@@ -1,7 +1,5 @@
 #include "story/flow_story.h"
 
-#include "base/log.h"
-
 #include <algorithm>
 #include <set>
 #include <string>
@@ -26,7 +24,7 @@
 
 bool isOfUpstream(const LogLine &line, const std::set<std::string, std::less<>> &upstreams)
 {
-    return line.event / 100 == 6 && upstreams.contains(std::string(line.value("upstream")));
+    return line.event / 100 == 6 && upstreams.contains(line.value("upstream"));
 }
 
 // What a host says of itself, its configuration and the platform.
--- a/tests/base/base_test.cpp
+++ b/tests/base/base_test.cpp
@@ -6,6 +6,7 @@
 #include "base/ring.h"
 
 #include <array>
+#include <csignal>
 #include <doctest/doctest.h>
 #include <poll.h>
 #include <set>
@@ -148,6 +149,16 @@
         CHECK(after.find("106 LogLinesLost") != std::string::npos);
         CHECK(after.find("102 Stopped") != std::string::npos);
     }
+    SUBCASE("says how much is missing where its reader went away, too")
+    {
+        std::signal(SIGPIPE, SIG_IGN); // as the daemon does
+        close(ends[0]);
+        logEvent(Event::StopRequested);
+        REQUIRE(pipe(ends.data()) == 0);
+        setLogDescriptor(ends[1]);
+        logEvent(Event::Stopped);
+        CHECK(readAll().find("106 LogLinesLost \"lines were lost, as nobody reads the log\" lines=1\n") != std::string::npos);
+    }
     SUBCASE("has room for each kind of event, however many there are of another")
     {
         const auto room = [] { return logTakes(Event::FlowPlaced); };
