tests: what several programs need stands once

Cause: reading the whole change again. runUntil stood in two tests of platform/, the settings of an entry host with their ports in the entry test and in the soak, the end of a log in the fleet test and in the soak; the soak built an upstream in two places and copied its list of faults into a queue. Change: harness/run_until.h, daemon/entry_process.h, DaemonProcess::endOfLog; SoakPlatform::add, at() and pathOf() for a host's row. Looked at and left: the packet layout in src/standin is written apart from the adapter on purpose, so that a fault in one shows; the pairs of includes and of settings readers are the frame of such files; the set-up that two cases of flow_steering_test share differs in its last step.

--- a/tests/daemon/daemon_process.cpp
+++ b/tests/daemon/daemon_process.cpp
@@ -3,6 +3,7 @@
 #include "daemon/caller.h"
 #include "yaml/text_file.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -117,6 +118,13 @@
     return readTextFile(folder_ + "/log", kLongestLogBytes).value_or("");
 }
 
+std::string DaemonProcess::endOfLog() const
+{
+    constexpr std::size_t kShownBytes = 1500;
+    const auto text = log();
+    return text.substr(text.size() - std::min(text.size(), kShownBytes));
+}
+
 void pauseBriefly()
 {
     std::this_thread::sleep_for(kPollInterval);
--- a/tests/daemon/daemon_process.h
+++ b/tests/daemon/daemon_process.h
@@ -38,6 +38,9 @@
     /// What it logged so far.
     std::string log() const;
 
+    /// The last lines of it, for a check that failed.
+    std::string endOfLog() const;
+
     const std::string &folder() const
     {
         return folder_;
--- /dev/null
+++ b/tests/daemon/entry_process.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/endpoint.h"
+
+#include <cstdint>
+#include <fmt/format.h>
+#include <string>
+
+namespace medlarway
+{
+
+/// Where an entry host of a test listens at its address.
+inline constexpr std::uint16_t kPacketPort = 28172; ///< clients listen at it too
+inline constexpr std::uint16_t kReadyPort = 28167;
+inline constexpr std::uint16_t kControlPort = 28166;
+
+/// Seconds that such a host has for a planned stop.
+inline constexpr int kEntryGraceSeconds = 4;
+
+/// The settings of an entry host that knows one other, the seed.
+inline std::string entrySettingsText(const std::string &address, const std::string &zone, const Endpoint &store, const std::string &seed)
+{
+    return fmt::format("entry:\n  name: \"{0}\"\n  zone: {1}\n  packets: \"{0}:{2}\"\n  ready: \"{0}:{3}\"\n  control: \"{0}:{4}\"\n"
+                       "  store: \"{5}\"\n  peers: \"{0}:28200\"\n  seeds: [\"{6}:{4}\"]\n  grace-seconds: {7}\n",
+                       address, zone, kPacketPort, kReadyPort, kControlPort, endpointToString(store), seed, kEntryGraceSeconds);
+}
+
+} // namespace medlarway
--- a/tests/entry_daemon/entry_host_test.cpp
+++ b/tests/entry_daemon/entry_host_test.cpp
@@ -1,5 +1,6 @@
 #include "daemon/caller.h"
 #include "daemon/daemon_process.h"
+#include "daemon/entry_process.h"
 #include "standin/platform/packets.h"
 #include "standin/platform/store.h"
 
@@ -18,15 +19,10 @@
 
 constexpr Endpoint kRoute{0xc6120001, 443};
 constexpr Endpoint kLaterRoute{0xc6120002, 443};
-constexpr std::uint16_t kPacketPort = 28172;
-constexpr std::uint16_t kReadyPort = 28167;
-constexpr std::uint16_t kControlPort = 28166;
 
 std::string settingsOf(const std::string &address, const Endpoint &store, const std::string &seed)
 {
-    return fmt::format("entry:\n  name: host\n  zone: z\n  packets: \"{0}:{1}\"\n  ready: \"{0}:{2}\"\n  control: \"{0}:{3}\"\n"
-                       "  store: \"{4}\"\n  peers: \"{0}:28200\"\n  seeds: [\"{5}:{3}\"]\n  grace-seconds: 4\n",
-                       address, kPacketPort, kReadyPort, kControlPort, endpointToString(store), seed);
+    return entrySettingsText(address, "z", store, seed);
 }
 
 // The platform, in a thread of its own; what it publishes is changed on that thread.
--- a/tests/fleet/five_hosts_test.cpp
+++ b/tests/fleet/five_hosts_test.cpp
@@ -111,20 +111,12 @@
     std::vector<std::thread> threads_;
 };
 
-// What a host said last.
-std::string endOfLog(Fleet &fleet, int host)
-{
-    constexpr std::size_t kShownBytes = 1500;
-    const auto log = fleet.process(host).log();
-    return log.substr(log.size() - std::min(log.size(), kShownBytes));
-}
-
 // Whether a host still runs, and what it said last, for a check that failed.
 std::string lastSign(Fleet &fleet, int host)
 {
     const auto exit = fleet.process(host).waitExit(seconds{0});
     return fmt::format("host {}: {}, view {}, log {}", host, exit ? fmt::format("ended with {}", *exit) : "runs", fleet.viewSize(host),
-                       endOfLog(fleet, host));
+                       fleet.process(host).endOfLog());
 }
 
 // A planned stop and a start with an empty memory.
@@ -132,7 +124,7 @@
 {
     fleet.process(host).signal(SIGTERM);
     const auto exit = fleet.process(host).waitExit(seconds{20});
-    INFO("host ", host, " state ", exit ? "" : fleet.state(host).dump(), " log ", endOfLog(fleet, host));
+    INFO("host ", host, " state ", exit ? "" : fleet.state(host).dump(), " log ", fleet.process(host).endOfLog());
     CHECK(exit.value_or(-1) == 0);
     fleet.start(host);
     REQUIRE(fleet.waitTogether());
--- /dev/null
+++ b/tests/harness/run_until.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+
+namespace medlarway
+{
+
+/// Runs the context until the condition holds; false where it doesn't within ten seconds.
+template<class Condition>
+bool runUntil(boost::asio::io_context &context, Condition condition)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+        context.restart();
+        context.run_one_for(std::chrono::milliseconds{20});
+    }
+    return condition();
+}
+
+} // namespace medlarway
--- a/tests/platform/sources_test.cpp
+++ b/tests/platform/sources_test.cpp
@@ -1,5 +1,6 @@
 #include "base/counters.h"
 #include "base/errors.h"
+#include "harness/run_until.h"
 #include "platform/file_source.h"
 #include "platform/store_source.h"
 #include "standin/platform/store.h"
@@ -18,26 +19,12 @@
 namespace
 {
 
-constexpr auto kLimit = 10s;
-
 std::string shardText(const std::string &service)
 {
     return "services: [{name: " + service
            + ", owner: x, class: feed, kind: stream, address: 0.0.0.0:80, upstreams: [{address: 10.0.0.1:80, zone: z}]}]\n";
 }
 
-// Runs the context until the condition holds; false where it doesn't within the limit.
-template<class Condition>
-bool runUntil(asio::io_context &context, Condition condition)
-{
-    const auto end = std::chrono::steady_clock::now() + kLimit;
-    while (!condition() && std::chrono::steady_clock::now() < end) {
-        context.restart();
-        context.run_one_for(20ms);
-    }
-    return condition();
-}
-
 struct Received {
     std::vector<PlatformUpdate> updates;
 
--- a/tests/platform/store_feed_test.cpp
+++ b/tests/platform/store_feed_test.cpp
@@ -1,3 +1,4 @@
+#include "harness/run_until.h"
 #include "platform/store_feed.h"
 #include "standin/platform/store.h"
 
@@ -12,7 +13,6 @@
 namespace
 {
 
-constexpr auto kLimit = 10s;
 constexpr Endpoint kRoute{0xc6120001, 8443};
 
 // A reader of the store, and what it has learnt.
@@ -56,17 +56,6 @@
     StoreFeed feed;
 };
 
-template<class Condition>
-bool runUntil(boost::asio::io_context &context, Condition condition)
-{
-    const auto end = std::chrono::steady_clock::now() + kLimit;
-    while (!condition() && std::chrono::steady_clock::now() < end) {
-        context.restart();
-        context.run_one_for(20ms);
-    }
-    return condition();
-}
-
 } // namespace
 
 TEST_CASE("a host that follows the store")
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -1,5 +1,6 @@
 #include "soak/fleet.h"
 
+#include "daemon/entry_process.h"
 #include "placement/rendezvous.h"
 
 #include <algorithm>
@@ -21,10 +22,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::uint16_t kReadyPort = 28167;
-constexpr std::uint16_t kControlPort = 28166;
-
-constexpr auto kGrace = 4s; // as the settings say
+constexpr std::chrono::seconds kGrace{kEntryGraceSeconds};
 constexpr auto kGraceSlack = 1500ms; // of a machine that does other things too
 constexpr auto kRestartAfter = 300ms;
 constexpr auto kAskInterval = 500ms; // as the routers do
@@ -38,13 +36,6 @@
     return {parseAddress(address).value(), port};
 }
 
-std::string settingsOf(const std::string &address, const std::string &zone, const Endpoint &store, const std::string &seeds)
-{
-    return fmt::format("entry:\n  name: \"{0}\"\n  zone: {1}\n  packets: \"{0}:{2}\"\n  ready: \"{0}:{3}\"\n  control: \"{0}:{4}\"\n"
-                       "  store: \"{5}\"\n  peers: \"{0}:28200\"\n  seeds: [{6}]\n  grace-seconds: {7}\n",
-                       address, zone, kPacketPort, kReadyPort, kControlPort, endpointToString(store), seeds, kGrace.count());
-}
-
 } // namespace
 
 SoakFleet::SoakFleet(const SoakOptions &options, SoakPlatform &platform, Judge &judge)
@@ -54,8 +45,8 @@
     , hosts_(static_cast<std::size_t>(options.hosts))
 {
     for (int host = 0; host < options_.hosts; ++host) {
-        hosts_[static_cast<std::size_t>(host)].address = loopbackAddress(host + 1);
-        disturb(hosts_[static_cast<std::size_t>(host)], host, false);
+        at(host).address = loopbackAddress(host + 1);
+        disturb(at(host), host, false);
         start(host);
         boost::asio::co_spawn(platform_.context(), askReady(host), boost::asio::detached);
         boost::asio::co_spawn(platform_.context(), watchConfig(host), boost::asio::detached);
@@ -86,9 +77,9 @@
 void SoakFleet::start(int host)
 {
     const auto store = platform_.storeOf(host);
-    auto &entry = hosts_[static_cast<std::size_t>(host)];
-    const auto seeds = fmt::format("\"{}:{}\"", loopbackAddress(1 + (host + 1) % options_.hosts), kControlPort);
-    entry.process = std::make_unique<DaemonProcess>(settingsOf(entry.address, zoneOf(host, options_.zones), store, seeds), "");
+    auto &entry = at(host);
+    const auto seed = loopbackAddress(1 + (host + 1) % options_.hosts);
+    entry.process = std::make_unique<DaemonProcess>(entrySettingsText(entry.address, zoneOf(host, options_.zones), store, seed), "");
     const std::lock_guard lock(mutex_);
     entry.phase = Phase::Runs;
     entry.since = monotonicNow();
@@ -98,7 +89,7 @@
 
 void SoakFleet::kill(int host)
 {
-    auto &entry = hosts_[static_cast<std::size_t>(host)];
+    auto &entry = at(host);
     if (entry.phase == Phase::Down) {
         return;
     }
@@ -114,7 +105,7 @@
 
 void SoakFleet::stop(int host)
 {
-    auto &entry = hosts_[static_cast<std::size_t>(host)];
+    auto &entry = at(host);
     if (entry.phase != Phase::Runs || entry.paused || entry.disturbed) {
         return;
     }
@@ -128,7 +119,7 @@
 
 void SoakFleet::pause(int host)
 {
-    auto &entry = hosts_[static_cast<std::size_t>(host)];
+    auto &entry = at(host);
     if (entry.phase != Phase::Runs || entry.paused) {
         return;
     }
@@ -140,7 +131,7 @@
 
 void SoakFleet::resume(int host)
 {
-    auto &entry = hosts_[static_cast<std::size_t>(host)];
+    auto &entry = at(host);
     if (!entry.paused) {
         return;
     }
@@ -152,21 +143,21 @@
 
 void SoakFleet::reload(int host)
 {
-    hosts_[static_cast<std::size_t>(host)].process->signal(SIGHUP);
+    at(host).process->signal(SIGHUP);
 }
 
 void SoakFleet::tend()
 {
     for (int host = 0; host < options_.hosts; ++host) {
-        auto &entry = hosts_[static_cast<std::size_t>(host)];
+        auto &entry = at(host);
         const auto span = monotonicNow() - entry.since;
         const auto exit = entry.phase == Phase::Down ? std::nullopt : entry.process->waitExit(0s);
         if (exit && entry.phase == Phase::Runs) {
-            judge_.blame(fmt::format("host {} ended by itself with {}: {}", host, *exit, log(host)));
+            judge_.blame(fmt::format("host {} ended by itself with {}: {}", host, *exit, entry.process->endOfLog()));
         }
         if (entry.phase == Phase::Stops && (exit.value_or(0) != 0 || span > kGrace + kGraceSlack)) {
             judge_.blame(fmt::format("stop: host {} {} after {:.2f} s: {}", host, exit ? fmt::format("ended with {}", *exit) : "still runs",
-                                     std::chrono::duration<double>(span).count(), log(host)));
+                                     std::chrono::duration<double>(span).count(), entry.process->endOfLog()));
             entry.process->signal(SIGKILL);
             entry.process->waitExit();
         }
@@ -181,17 +172,10 @@
     }
 }
 
-std::string SoakFleet::log(int host)
-{
-    constexpr std::size_t kShownBytes = 1200;
-    const auto text = hosts_[static_cast<std::size_t>(host)].process->log();
-    return text.substr(text.size() - std::min(text.size(), kShownBytes));
-}
-
 boost::asio::awaitable<void> SoakFleet::askReady(int host)
 {
     constexpr auto kWaitForCompletion = boost::asio::as_tuple(boost::asio::use_awaitable);
-    auto &entry = hosts_[static_cast<std::size_t>(host)];
+    auto &entry = at(host);
     HttpReader reader(platform_.context(), endpointAt(entry.address, kReadyPort));
     boost::asio::steady_timer timer(platform_.context());
     for (;;) {
@@ -212,7 +196,7 @@
 boost::asio::awaitable<void> SoakFleet::watchConfig(int host)
 {
     constexpr auto kWaitForCompletion = boost::asio::as_tuple(boost::asio::use_awaitable);
-    auto &entry = hosts_[static_cast<std::size_t>(host)];
+    auto &entry = at(host);
     HttpReader reader(platform_.context(), endpointAt(entry.address, kControlPort));
     boost::asio::steady_timer timer(platform_.context());
     std::uint64_t highest = 0;
@@ -253,7 +237,7 @@
     std::vector<int> answering;
     std::vector<int> elsewhere;
     for (int host = 0; host < options_.hosts; ++host) {
-        const bool answers = hosts_[static_cast<std::size_t>(host)].misses < kMissesToPassOver;
+        const bool answers = at(host).misses < kMissesToPassOver;
         if (zoneOf(host, options_.zones) != zone) {
             elsewhere.push_back(answers ? host : -1);
             continue;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -37,9 +37,6 @@
     /// Whether every host takes packets.
     bool allReady() const;
 
-    /// What a host logged last.
-    std::string log(int host);
-
 private:
     enum class Phase : std::uint8_t {
         Down,
@@ -59,6 +56,16 @@
         std::uint32_t misses = 2; ///< of the routers' questions, in a row
     };
 
+    Host &at(int host)
+    {
+        return hosts_[static_cast<std::size_t>(host)];
+    }
+
+    const Host &at(int host) const
+    {
+        return hosts_[static_cast<std::size_t>(host)];
+    }
+
     void start(int host);
     void disturb(Host &entry, int host, bool failure);
     void serves(Host &entry, int host);
--- a/tests/soak/platform.cpp
+++ b/tests/soak/platform.cpp
@@ -16,6 +16,7 @@
 constexpr int kUpstreamAddresses = 100;
 constexpr int kPathAddress = 99;
 
+constexpr std::uint64_t kFirstNumber = 0x1000;
 constexpr std::uint64_t kFirstBorn = 1000;
 constexpr std::uint64_t kLossOneIn = 5;
 
@@ -80,7 +81,7 @@
 Endpoint SoakPlatform::storeOf(int host)
 {
     Endpoint address;
-    run([&] { address = paths_.at(static_cast<std::size_t>(host))->address(); });
+    run([&] { address = pathOf(host).address(); });
     return address;
 }
 
@@ -101,17 +102,17 @@
 
 void SoakPlatform::setPath(int host, StorePath path)
 {
-    run([&] { paths_.at(static_cast<std::size_t>(host))->set(path); });
+    run([&] { pathOf(host).set(path); });
 }
 
 void SoakPlatform::resetPath(int host)
 {
-    run([&] { paths_.at(static_cast<std::size_t>(host))->reset(); });
+    run([&] { pathOf(host).reset(); });
 }
 
 void SoakPlatform::freezePath(int host)
 {
-    run([&] { paths_.at(static_cast<std::size_t>(host))->freeze(); });
+    run([&] { pathOf(host).freeze(); });
 }
 
 void SoakPlatform::cutZone(int zone, bool cut)
@@ -163,28 +164,31 @@
     versionAt_ = monotonicNow();
 }
 
-std::string SoakPlatform::nextId()
-{
-    return fmt::format("i-{:x}", 0x1000 + ++lastId_);
-}
-
 std::string SoakPlatform::startUpstream(const std::string &service)
 {
     const std::lock_guard lock(mutex_);
-    auto id = nextId();
-    Upstream upstream;
-    upstream.service = service;
-    upstream.zone = zoneOf(static_cast<int>(lastId_), options_.zones);
-    upstream.number = 0x1000 + lastId_;
-    upstream.born = kFirstBorn + lastId_;
     const auto address = addressOf(kUpstreamAddresses + nextAddress_++ % 100);
+    std::shared_ptr<UpstreamLink> link;
     run([&] {
         // The watcher needs the link itself: packets are judged by whoever has the address.
         auto known = std::make_shared<std::weak_ptr<UpstreamLink>>();
-        upstream.link = std::make_shared<UpstreamLink>(
+        link = std::make_shared<UpstreamLink>(
             context_, address, [this, known](std::uint32_t sender, auto datagram) { return watch(known->lock(), sender, datagram); });
-        *known = upstream.link;
+        *known = link;
     });
+    return add(service, zoneOf(static_cast<int>(lastId_ + 1), options_.zones), link);
+}
+
+// With the mutex held.
+std::string SoakPlatform::add(const std::string &service, const std::string &zone, const std::shared_ptr<UpstreamLink> &link)
+{
+    Upstream upstream;
+    upstream.service = service;
+    upstream.zone = zone;
+    upstream.number = kFirstNumber + ++lastId_;
+    upstream.born = kFirstBorn + lastId_;
+    upstream.link = link;
+    auto id = fmt::format("i-{:x}", upstream.number);
     begin(id, upstream);
     upstreams_[id] = std::move(upstream);
     return id;
@@ -232,16 +236,7 @@
 {
     const std::lock_guard lock(mutex_);
     const auto &before = upstreams_.at(ended);
-    auto id = nextId();
-    Upstream upstream;
-    upstream.service = before.service == "one" ? "two" : "one";
-    upstream.zone = before.zone;
-    upstream.number = 0x1000 + lastId_;
-    upstream.born = kFirstBorn + lastId_;
-    upstream.link = before.link;
-    begin(id, upstream);
-    upstreams_[id] = std::move(upstream);
-    return id;
+    return add(before.service == "one" ? "two" : "one", before.zone, before.link);
 }
 
 void SoakPlatform::restartUpstream(const std::string &id)
--- a/tests/soak/platform.h
+++ b/tests/soak/platform.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/random.h"
+#include "daemon/entry_process.h"
 #include "soak/faults.h"
 #include "soak/judge.h"
 #include "soak/links.h"
@@ -23,7 +24,6 @@
 namespace medlarway::soak
 {
 
-inline constexpr std::uint16_t kPacketPort = 28172; ///< of hosts and clients
 inline constexpr Endpoint kRouteOne{0xc6120001, 443};
 inline constexpr Endpoint kRouteTwo{0xc6120002, 443};
 
@@ -103,9 +103,14 @@
 
     template<class Change>
     void run(Change change);
+    StoreLink &pathOf(int host)
+    {
+        return *paths_.at(static_cast<std::size_t>(host));
+    }
+
+    std::string add(const std::string &service, const std::string &zone, const std::shared_ptr<UpstreamLink> &link);
     void begin(const std::string &id, Upstream &upstream);
     void publish(const std::string &id, const Upstream &upstream);
-    std::string nextId();
     bool watch(const std::shared_ptr<UpstreamLink> &link, std::uint32_t sender, std::span<const std::uint8_t> datagram);
     void judgePacket(const std::string &id, const Upstream &upstream, int host, std::span<const std::uint8_t> datagram);
     void putConfig();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -5,7 +5,6 @@
 #include "soak/judge.h"
 #include "soak/platform.h"
 
-#include <deque>
 #include <fmt/format.h>
 #include <functional>
 
@@ -284,14 +283,11 @@
     {
         SoakCallers callers(options, platform, fleet, judge);
         const auto begun = monotonicNow();
-        std::deque<Fault> faults;
-        for (const auto &fault : drawFaults(options)) {
-            faults.push_back(fault);
-        }
-        while (!faults.empty() || monotonicNow() - begun < options.length) {
-            while (!faults.empty() && faults.front().at <= monotonicNow() - begun) {
-                injector.begin(faults.front());
-                faults.pop_front();
+        const auto faults = drawFaults(options);
+        auto next = faults.begin();
+        while (next != faults.end() || monotonicNow() - begun < options.length) {
+            for (; next != faults.end() && next->at <= monotonicNow() - begun; ++next) {
+                injector.begin(*next);
             }
             injector.step();
             fleet.tend();
