proxy: a planned stop serves every connection that its kernel has taken

Cause: the listener shrank its backlog to 0 before it emptied it. The kernel then drops the last handshake packet of a caller whose connection does not fit, so the caller is connected and the host is not: its request ends in a reset. Without the shrinking a connection can still complete between the last accept and the close. Change: a closing listener first drops opening packets by a socket filter, accepts what is established, waits 100 ms for handshakes that are under way, accepts again and closes. Callers whose opening packet was dropped send it again and are refused. A service is idle only after its listener has closed. Ruled out: the idle drain timeout alone; the listener lost connections without it. Test: callers connect all the while as the stop begins; none may be left without a response. The test waits for a refused connection, where it waited for one that failed in any way.

--- a/src/proxy/service_runner.cpp
+++ b/src/proxy/service_runner.cpp
@@ -91,13 +91,18 @@
 {
     nextListenAttempt_.reset();
     if (listener_) {
-        // close() accepts pending connections, whose handlers use this object; the pointer keeps the listener alive meanwhile.
-        const auto closing = std::exchange(listener_, nullptr);
-        closing->close();
+        closeGracefully(std::exchange(listener_, nullptr));
         logEvent(Event::ServiceClosed, {field("service", service_->name)});
     }
 }
 
+// The listener still accepts connections for a while, and the service is not idle until it has closed.
+void ServiceRunner::closeGracefully(std::shared_ptr<TcpListener> listener)
+{
+    closingListeners_.push_back(std::move(listener));
+    closingListeners_.back()->close();
+}
+
 // A service that changes its address listens at the new one before the old listener is closed.
 void ServiceRunner::setService(const Service &service)
 {
@@ -111,7 +116,7 @@
         const auto oldDatagrams = std::exchange(datagrams_, nullptr);
         openListener();
         if (oldListener) {
-            oldListener->close();
+            closeGracefully(oldListener);
         }
         if (oldDatagrams) {
             oldDatagrams->stop();
@@ -168,6 +173,9 @@
 void ServiceRunner::abort()
 {
     closeListener();
+    for (const auto &listener : closingListeners_) {
+        listener->abort();
+    }
     const std::vector<CallerConnection *> open(connections_.begin(), connections_.end());
     for (auto *connection : open) {
         connection->abort();
@@ -179,6 +187,7 @@
 
 void ServiceRunner::sweep(Time now)
 {
+    std::erase_if(closingListeners_, [](const auto &listener) { return !listener->isOpen(); });
     pool_.sweep(now);
     responses_.sweep(now);
     if (datagrams_) {
@@ -223,7 +232,7 @@
 
 bool ServiceRunner::idle() const
 {
-    return connections_.empty() && (!datagrams_ || datagrams_->finished());
+    return connections_.empty() && closingListeners_.empty() && (!datagrams_ || datagrams_->finished());
 }
 
 Endpoint ServiceRunner::listeningOn() const
--- a/src/proxy/service_runner.h
+++ b/src/proxy/service_runner.h
@@ -95,6 +95,7 @@
 private:
     void openListener();
     void closeListener();
+    void closeGracefully(std::shared_ptr<TcpListener> listener);
     View viewOrSelf() const;
     void onAccepted(tcp::socket socket);
     void applyDecisions();
@@ -108,6 +109,7 @@
     asio::steady_timer tickTimer_;
     std::optional<Time> scheduledTick_;
     std::shared_ptr<TcpListener> listener_;
+    std::vector<std::shared_ptr<TcpListener>> closingListeners_;
     std::shared_ptr<DatagramService> datagrams_;
     std::optional<Time> nextListenAttempt_;
     std::unordered_set<CallerConnection *> connections_;
--- a/src/proxy/tcp_listener.cpp
+++ b/src/proxy/tcp_listener.cpp
@@ -1,8 +1,12 @@
 #include "proxy/tcp_listener.h"
 
+#include "base/log.h"
+
+#include <array>
 #include <boost/asio/error.hpp>
-#include <chrono>
+#include <linux/filter.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace medlarway
 {
@@ -13,13 +17,35 @@
 constexpr int kBacklog = 4096;
 constexpr auto kRetryDelay = std::chrono::milliseconds{50};
 
+// Attaches a packet filter that drops opening packets (SYN without ACK) and passes everything else. Accepted connections inherit it, which is
+// harmless, as they get no such packets. On failure, callers that connect while the listener closes may be reset.
+void dropNewConnections(int socket)
+{
+    constexpr std::uint32_t kFlagsOffset = 13; // of the TCP header
+    constexpr std::uint32_t kSyn = 0x02;
+    constexpr std::uint32_t kAck = 0x10;
+    constexpr std::uint32_t kDrop = 0;
+    constexpr std::uint32_t kPass = 0xffffffff;
+    std::array<sock_filter, 5> code{{
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
+        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, kSyn | kAck),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, kSyn, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, kDrop),
+        BPF_STMT(BPF_RET | BPF_K, kPass),
+    }};
+    const sock_fprog filter{static_cast<unsigned short>(code.size()), code.data()};
+    if (setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter)) != 0) {
+        logEvent(Event::InternalFault, {field("detail", "a closing listener can't drop opening packets")});
+    }
+}
+
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 } // namespace
 
 TcpListener::TcpListener(asio::io_context &context, AcceptHandler handler)
     : acceptor_(context)
-    , retryTimer_(context)
+    , timer_(context)
     , handler_(std::move(handler))
 {
 }
@@ -68,7 +94,7 @@
 // A lack of file descriptors or memory is temporary; retrying after a delay avoids a busy loop.
 void TcpListener::onAccepted(const ErrorCode &error, tcp::socket socket)
 {
-    // A connection that was accepted just before close() is served like those that close() accepts.
+    // A connection that was accepted just before the socket was closed is served like the others.
     if (!error) {
         prepareSocket(socket);
         handler_(std::move(socket));
@@ -77,28 +103,49 @@
         }
         return;
     }
-    if (!acceptor_.is_open()) {
+    if (!acceptor_.is_open() || closing_) {
         return;
     }
-    retryTimer_.expires_after(kRetryDelay);
-    retryTimer_.async_wait([self = shared_from_this()](const ErrorCode &cancelled) {
-        if (!cancelled && self->acceptor_.is_open()) {
+    timer_.expires_after(kRetryDelay);
+    timer_.async_wait([self = shared_from_this()](const ErrorCode &cancelled) {
+        if (!cancelled && self->acceptor_.is_open() && !self->closing_) {
             self->acceptNext();
         }
     });
 }
 
-// Closing the socket would reset connections that are established but not accepted yet, so they are
-// accepted first. The minimal backlog lets hardly any new ones be established in the meantime.
+bool TcpListener::isOpen() const
+{
+    return acceptor_.is_open();
+}
+
+// Closing the socket resets every connection in its backlog, and those whose last handshake packet is still on the way. No new one can
+// start once opening packets are dropped; their callers send them again a second later and are refused then.
 void TcpListener::close()
 {
-    if (!acceptor_.is_open()) {
+    if (!acceptor_.is_open() || std::exchange(closing_, true)) {
         return;
     }
-    ErrorCode error;
-    acceptor_.cancel(error);
-    acceptor_.listen(0, error);
-    while (true) {
+    dropNewConnections(acceptor_.native_handle());
+    acceptPending();
+    timer_.expires_after(kHandshakeTime);
+    timer_.async_wait([self = shared_from_this()](const ErrorCode &) {
+        self->acceptPending();
+        self->abort();
+    });
+}
+
+void TcpListener::abort()
+{
+    ErrorCode ignored;
+    acceptor_.close(ignored);
+    timer_.cancel();
+}
+
+void TcpListener::acceptPending()
+{
+    while (acceptor_.is_open()) {
+        ErrorCode error;
         tcp::socket socket(acceptor_.get_executor());
         acceptor_.accept(socket, error);
         if (error) {
@@ -107,8 +154,6 @@
         prepareSocket(socket);
         handler_(std::move(socket));
     }
-    acceptor_.close(error);
-    retryTimer_.cancel();
 }
 
 } // namespace medlarway
--- a/tests/proxy/test_connection.cpp
+++ b/tests/proxy/test_connection.cpp
@@ -303,6 +303,18 @@
     return condition();
 }
 
+bool refusesConnections(const Endpoint &to)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const timeval timeout{0, 200'000};
+    setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
+    const auto address = addressOf(to);
+    const bool refused
+        = ::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 && errno == ECONNREFUSED;
+    ::close(socket);
+    return refused;
+}
+
 Endpoint closedEndpoint()
 {
     const int socket = listenOnFreePort();
--- a/tests/proxy/test_connection.h
+++ b/tests/proxy/test_connection.h
@@ -91,6 +91,9 @@
 /// Waits for a condition for some seconds and returns whether it became true.
 bool eventually(const std::function<bool()> &condition);
 
+/// Whether a connection attempt is refused within 200 ms. An attempt without an answer is not refused.
+bool refusesConnections(const Endpoint &to);
+
 /// An endpoint on loopback that nothing listens on.
 Endpoint closedEndpoint();
 
