peering: control messages travel over Asio streams, libnng is gone

A single thread serves all of it. The framing on the wire is that of the push and pull sockets, so a host of the previous release understands it and hosts can be replaced in turn (test with the bytes of that framing). The backoff of the store client moved to base, where both use it. Not run: a mixed fleet of whole daemons; only the framing was tested.

--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(
     g++ clang clang-format clang-tidy libclang-rt-14-dev cmake ninja-build ccache curl
-    libboost1.81-dev libnng-dev libabsl-dev libfmt-dev doctest-dev libyaml-cpp-dev
+    libboost1.81-dev libabsl-dev libfmt-dev doctest-dev libyaml-cpp-dev
     librapidcheck-dev libxxhash-dev libsodium-dev nlohmann-json3-dev pkg-config
 )
 missing=()
--- a/src/peering/control_socket.cpp
+++ b/src/peering/control_socket.cpp
@@ -3,15 +3,24 @@
 #include "base/errors.h"
 #include "peering/codec.h"
 #include "peering/envelope.h"
-
+#include "peering/peer_framing.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
-#include <future>
-#include <memory>
-#include <nng/nng.h>
-#include <nng/protocol/pipeline0/pull.h>
-#include <nng/protocol/pipeline0/push.h>
+#include <csignal>
+#include <netinet/tcp.h>
+#include <pthread.h>
+#include <string>
+#include <sys/socket.h>
+#include <tuple>
 #include <utility>
-#include <vector>
 
 namespace medlarway
 {
@@ -19,140 +28,152 @@
 namespace
 {
 
-constexpr int kSendQueueMessages = 64;
-constexpr int kReceiveQueueMessages = 256;
-constexpr nng_duration kReconnectMinMilliseconds = 50;
-constexpr nng_duration kReconnectMaxMilliseconds = 1000;
-constexpr nng_duration kReceiveTimeoutMilliseconds = 100;
-constexpr std::chrono::milliseconds kCloseTimeout{1000};
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
 
-std::string urlOf(const Endpoint &endpoint)
-{
-    return "tcp://" + endpointToString(endpoint);
-}
+constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::size_t kMaxSealedBytes = kMaxMessageBytes + kEnvelopeBytes;
 
-nng_socket socketOf(std::uint32_t id)
+// Accepting may fail repeatedly, for example without free file descriptors; the delay avoids a busy loop.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
+
+// A host that lost power sends no end of its connection. After this many seconds without a byte it is probed, and given up after as many
+// more.
+constexpr int kKeepAliveSeconds = 15;
+constexpr int kKeepAliveProbes = 3;
+
+void enableKeepAlive(tcp::socket &socket)
 {
-    nng_socket socket = NNG_SOCKET_INITIALIZER;
-    socket.id = id;
-    return socket;
+    using IdleOption = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using IntervalOption = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using CountOption = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    ErrorCode ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(IdleOption(kKeepAliveSeconds), ignored);
+    socket.set_option(IntervalOption(kKeepAliveSeconds / kKeepAliveProbes), ignored);
+    socket.set_option(CountOption(kKeepAliveProbes), ignored);
 }
 
-// nng_close sometimes blocks forever while a peer is establishing a connection. A planned shutdown must not hang,
-// so a separate thread closes the sockets and is abandoned after the timeout.
-void closeWithTimeout(std::vector<std::uint32_t> sockets, std::chrono::milliseconds timeout)
+// Signals are handled by the main thread.
+void blockSignals()
 {
-    auto closed = std::make_shared<std::promise<void>>();
-    auto done = closed->get_future();
-    std::thread([closed, sockets = std::move(sockets)] {
-        for (const auto socket : sockets) {
-            nng_close(socketOf(socket));
-        }
-        closed->set_value();
-    }).detach();
-    if (done.wait_for(timeout) != std::future_status::ready) {
-        logEvent(Event::InternalFault, {field("detail", "the peers' sockets did not close in time and are left to the operating system")});
-    }
+    sigset_t all;
+    sigfillset(&all);
+    pthread_sigmask(SIG_BLOCK, &all, nullptr);
 }
 
 } // namespace
 
-ControlSocket::ControlSocket(const Endpoint &listen, Handler handler)
+ControlSocket::ControlSocket(const Endpoint &endpoint, Handler handler)
     : handler_(std::move(handler))
+    , acceptor_(context_)
 {
-    nng_socket socket = NNG_SOCKET_INITIALIZER;
-    if (nng_pull0_open(&socket) != 0) {
-        throw Error(ErrorKind::Internal, "the peers' socket can't be opened");
-    }
-    nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, kMaxMessageBytes + kEnvelopeBytes);
-    nng_socket_set_int(socket, NNG_OPT_RECVBUF, kReceiveQueueMessages);
-    nng_socket_set_ms(socket, NNG_OPT_RECVTIMEO, kReceiveTimeoutMilliseconds);
-    if (const int failure = nng_listen(socket, urlOf(listen).c_str(), nullptr, 0); failure != 0) {
-        nng_close(socket);
-        throw Error(ErrorKind::AddressTaken, "peers' port " + endpointToString(listen) + ": " + nng_strerror(failure));
-    }
-    pullSocket_ = socket.id;
-    thread_ = std::thread([this] { receiveLoop(); });
+    listen(endpoint);
+    asio::co_spawn(context_, acceptConnections(), asio::detached);
+    thread_ = std::thread([this] {
+        blockSignals();
+        context_.run();
+    });
 }
 
 ControlSocket::~ControlSocket()
 {
-    stopping_ = true;
+    context_.stop();
     thread_.join();
-    std::vector<std::uint32_t> sockets;
-    for (const auto &[host, connection] : connections_) {
-        sockets.push_back(connection.socket);
+}
+
+void ControlSocket::listen(const Endpoint &endpoint)
+{
+    const tcp::endpoint address(asio::ip::address_v4(endpoint.address), endpoint.port);
+    ErrorCode error;
+    acceptor_.open(address.protocol(), error);
+    if (!error) {
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor_.bind(address, error);
+    }
+    if (!error) {
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        throw Error(ErrorKind::AddressTaken, "peers' port " + endpointToString(endpoint) + ": " + error.message());
+    }
+}
+
+asio::awaitable<void> ControlSocket::acceptConnections()
+{
+    asio::steady_timer pause(context_);
+    for (;;) {
+        auto [error, socket] = co_await acceptor_.async_accept(kWaitForCompletion);
+        if (error) {
+            pause.expires_after(kAcceptRetryDelay);
+            co_await pause.async_wait(kWaitForCompletion);
+        } else if (incoming_ < kMaxIncomingConnections) {
+            asio::co_spawn(context_, receive(std::move(socket)), asio::detached);
+        }
     }
-    sockets.push_back(pullSocket_);
-    closeWithTimeout(std::move(sockets), kCloseTimeout);
 }
 
-void ControlSocket::receiveLoop()
+// A connection that breaks the framing is closed, as the start of the next message can't be found.
+asio::awaitable<void> ControlSocket::receive(tcp::socket socket)
 {
-    while (!stopping_) {
-        nng_msg *message = nullptr;
-        const int result = nng_recvmsg(socketOf(pullSocket_), &message, 0);
-        if (result == NNG_ECLOSED) {
-            return;
+    ++incoming_;
+    enableKeepAlive(socket);
+    const auto greeting = greetingOf(PeerRole::Pull);
+    Greeting answer{};
+    auto [error, written] = co_await asio::async_write(socket, asio::buffer(greeting), kWaitForCompletion);
+    if (!error) {
+        std::tie(error, std::ignore) = co_await asio::async_read(socket, asio::buffer(answer), kWaitForCompletion);
+    }
+    std::string message;
+    while (!error && answer == greetingOf(PeerRole::Push)) {
+        MessageLength length{};
+        std::tie(error, std::ignore) = co_await asio::async_read(socket, asio::buffer(length), kWaitForCompletion);
+        if (!error && decodeLength(length) > kMaxSealedBytes) {
+            reportError(ErrorKind::PeerOversized, "a peer announced a message of " + std::to_string(decodeLength(length)) + " bytes");
+            break;
+        }
+        if (!error) {
+            message.resize(decodeLength(length));
+            std::tie(error, std::ignore) = co_await asio::async_read(socket, asio::buffer(message), kWaitForCompletion);
         }
-        if (result != 0) {
-            continue;
+        if (!error) {
+            handler_(message);
         }
-        handler_(std::string_view(static_cast<const char *>(nng_msg_body(message)), nng_msg_len(message)));
-        nng_msg_free(message);
     }
+    --incoming_;
 }
 
 void ControlSocket::closeLeastRecentlyUsed()
 {
     const auto leastRecent = recentlyUsed_.back();
-    nng_close(socketOf(connections_.at(leastRecent).socket));
+    connections_.at(leastRecent).link->close();
     connections_.erase(leastRecent);
     recentlyUsed_.pop_back();
 }
 
-// Returns the socket that sends to the host, 0 on failure. Dials without blocking; nng keeps reconnecting while the
-// socket is open, so a host that was down becomes reachable again without further action.
-std::uint32_t ControlSocket::socketFor(HostId to)
+// The connection keeps reconnecting while it is stored, so a host that was down becomes reachable again without further action.
+PeerConnection &ControlSocket::connectionTo(HostId to)
 {
     if (const auto found = connections_.find(to); found != connections_.end()) {
         recentlyUsed_.splice(recentlyUsed_.begin(), recentlyUsed_, found->second.position);
-        return found->second.socket;
+        return *found->second.link;
     }
     if (connections_.size() >= kMaxConnections) {
         closeLeastRecentlyUsed();
     }
-    nng_socket socket = NNG_SOCKET_INITIALIZER;
-    if (nng_push0_open(&socket) != 0) {
-        return 0;
-    }
-    nng_socket_set_int(socket, NNG_OPT_SENDBUF, kSendQueueMessages);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, kReconnectMinMilliseconds);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, kReconnectMaxMilliseconds);
-    if (nng_dial(socket, urlOf(endpointOf(to)).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) {
-        nng_close(socket);
-        return 0;
-    }
+    auto link = std::make_shared<PeerConnection>(context_, endpointOf(to));
+    link->start();
     recentlyUsed_.push_front(to);
-    connections_.emplace(to, Connection{socket.id, recentlyUsed_.begin()});
-    return socket.id;
+    return *connections_.emplace(to, Connection{std::move(link), recentlyUsed_.begin()}).first->second.link;
 }
 
 bool ControlSocket::send(HostId to, std::string_view sealed)
 {
-    const auto socket = socketFor(to);
-    if (socket == 0) {
-        return false;
-    }
-    nng_msg *message = nullptr;
-    if (nng_msg_alloc(&message, 0) != 0) {
-        return false;
-    }
-    if (nng_msg_append(message, sealed.data(), sealed.size()) != 0 || nng_sendmsg(socketOf(socket), message, NNG_FLAG_NONBLOCK) != 0) {
-        nng_msg_free(message);
-        return false;
-    }
-    return true;
+    return connectionTo(to).enqueue(std::string(sealed));
 }
 
 } // namespace medlarway
--- a/src/peering/control_socket.h
+++ b/src/peering/control_socket.h
@@ -1,13 +1,15 @@
 #pragma once
 
 #include "base/host.h"
+#include "peering/peer_connection.h"
 
-#include <atomic>
-#include <cstdint>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 #include <functional>
 #include <list>
 #include <memory>
-#include <string>
 #include <string_view>
 #include <thread>
 #include <unordered_map>
@@ -18,18 +20,19 @@
 /// Maximum number of open outgoing connections; a new one closes the least recently used one.
 inline constexpr std::size_t kMaxConnections = 64;
 
-/// Transports sealed control messages between hosts: one nng pull socket receives them on its own thread, and a push
-/// socket for each destination sends them. Sending never blocks: a message is dropped if the destination's send queue
-/// is full, so callers must tolerate losses as on a network.
+/// Maximum number of incoming connections: more than a fleet has hosts.
+inline constexpr std::size_t kMaxIncomingConnections = 2048;
+
+/// Transports sealed control messages between hosts over TCP, on a thread of its own. Sending never blocks: a message is dropped if the
+/// queue of its destination is full, so callers must tolerate losses as on a network.
 class ControlSocket
 {
 public:
     using Handler = std::function<void(std::string_view sealed)>;
 
-    /// Listens on the endpoint and calls the handler for each message on the receiving thread.
-    /// Throws Error(AddressTaken).
+    /// Listens on the endpoint and calls the handler for each message on the socket's thread. Throws Error(AddressTaken).
     ControlSocket(const Endpoint &listen, Handler handler);
-    ~ControlSocket(); ///< blocks for about one second at most
+    ~ControlSocket();
     ControlSocket(const ControlSocket &) = delete;
     ControlSocket &operator=(const ControlSocket &) = delete;
 
@@ -44,19 +47,22 @@
 
 private:
     struct Connection {
-        std::uint32_t socket = 0;
+        std::shared_ptr<PeerConnection> link;
         std::list<HostId>::iterator position;
     };
 
-    std::uint32_t socketFor(HostId to);
+    PeerConnection &connectionTo(HostId to);
     void closeLeastRecentlyUsed();
-    void receiveLoop();
+    void listen(const Endpoint &endpoint);
+    boost::asio::awaitable<void> acceptConnections();
+    boost::asio::awaitable<void> receive(boost::asio::ip::tcp::socket socket);
 
     Handler handler_;
-    std::uint32_t pullSocket_ = 0;
+    boost::asio::io_context context_{1};
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::size_t incoming_ = 0; ///< number of incoming connections
     std::list<HostId> recentlyUsed_; ///< destinations, most recently used first
     std::unordered_map<HostId, Connection> connections_;
-    std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -1,5 +1,6 @@
 #include "platform/store_client.h"
 
+#include "base/backoff.h"
 #include "base/counters.h"
 #include "pages/query.h"
 
@@ -30,12 +31,9 @@
     return std::min(timeouts.maxResponseTimeout, timeouts.responseTimeout * (1U << std::min(failures, kMaxDoublings)));
 }
 
-// Exponential backoff with jitter, so that hosts do not retry simultaneously.
 Duration backoffAfter(std::uint32_t failures, const StoreTimeouts &timeouts, Random &random)
 {
-    const auto doubled = timeouts.minBackoff * (1U << std::min(failures, kMaxDoublings));
-    const auto delay = std::min(timeouts.maxBackoff, doubled);
-    return std::chrono::duration_cast<Duration>(delay * (0.5 + 0.5 * random.unit()));
+    return backoffAfter(failures, timeouts.minBackoff, timeouts.maxBackoff, random);
 }
 
 StoreClient::StoreClient(boost::asio::io_context &context, const Endpoint &address)
--- a/tests/peering/peering_test.cpp
+++ b/tests/peering/peering_test.cpp
@@ -6,11 +6,15 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <atomic>
 #include <condition_variable>
 #include <doctest/doctest.h>
 #include <mutex>
 #include <rapidcheck.h>
 #include <set>
+#include <thread>
 
 using namespace medlarway;
 
@@ -267,6 +271,68 @@
         }
         CHECK(sender.connectionCount() == kMaxConnections);
     }
+    SUBCASE("delivers every message that the queue took, in order")
+    {
+        ControlSocket sender(freeEndpoint(), [](std::string_view) {});
+        std::vector<std::string> sent;
+        for (int number = 0; number < 40; ++number) {
+            sent.push_back(std::string(static_cast<std::size_t>(number) * 1000, 'x') + std::to_string(number));
+            REQUIRE(sender.send(hostIdOf(endpoint), sent.back()));
+        }
+        std::unique_lock lock(mutex);
+        CHECK(arrived.wait_for(lock, std::chrono::seconds{10}, [&] { return messages == sent; }));
+    }
+    SUBCASE("drops messages once the queue of an unreachable host is full")
+    {
+        ControlSocket sender(freeEndpoint(), [](std::string_view) {});
+        const auto unreachable = hostIdOf(Endpoint{0x7f000001, 1});
+        int queued = 0;
+        while (queued < 1000 && sender.send(unreachable, "lost")) {
+            ++queued;
+        }
+        CHECK(queued == 64);
+    }
+    SUBCASE("reaches a host again that was restarted, while messages are sent to it")
+    {
+        ControlSocket sender(freeEndpoint(), [](std::string_view) {});
+        const auto restarting = freeEndpoint();
+        for (int round = 0; round < 20; ++round) {
+            std::atomic<int> received{0};
+            ControlSocket host(restarting, [&received](std::string_view) { ++received; });
+            const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+            while (received == 0 && std::chrono::steady_clock::now() < end) {
+                sender.send(hostIdOf(restarting), "again");
+                std::this_thread::yield();
+            }
+            REQUIRE(received > 0);
+        }
+    }
+    SUBCASE("speaks the framing of earlier releases")
+    {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket earlier(context);
+        earlier.connect({boost::asio::ip::address_v4(endpoint.address), endpoint.port});
+        const std::string greeting{"\0SP\0\0\x50\0\0", 8};
+        const std::string message{"\0\0\0\0\0\0\0\3old", 11};
+        boost::asio::write(earlier, boost::asio::buffer(greeting + message));
+        std::string answer(8, ' ');
+        boost::asio::read(earlier, boost::asio::buffer(answer));
+        CHECK(answer == std::string("\0SP\0\0\x51\0\0", 8));
+        std::unique_lock lock(mutex);
+        CHECK(arrived.wait_for(lock, std::chrono::seconds{10}, [&] { return messages == std::vector<std::string>{"old"}; }));
+    }
+    SUBCASE("closes a connection that announces too long a message")
+    {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket liar(context);
+        liar.connect({boost::asio::ip::address_v4(endpoint.address), endpoint.port});
+        boost::asio::write(liar, boost::asio::buffer(std::string("\0SP\0\0\x50\0\0\0\0\1\0\0\0\0\0", 16)));
+        std::string rest(64, ' ');
+        boost::system::error_code error;
+        boost::asio::read(liar, boost::asio::buffer(rest), error);
+        CHECK(error);
+        CHECK(messages.empty());
+    }
     SUBCASE("refuses an address that is in use")
     {
         CHECK(errorKindOf([&] { ControlSocket(endpoint, [](std::string_view) {}); }) == ErrorKind::AddressTaken);
