--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -2,6 +2,8 @@
 
 #include "base/errors.h"
 #include "base/hash.h"
+#include "peering/boot_number.h"
+#include "peering/key_file.h"
 
 #include <algorithm>
 #include <chrono>
@@ -20,14 +22,6 @@
     return std::chrono::steady_clock::now();
 }
 
-// Wall clock time in milliseconds: higher after each restart unless the clock was set back. Peers detect that and
-// reply with a BootNotice, see PeerLink::notifyStaleBoot().
-std::uint64_t bootNumber()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
-}
-
 HostCoreOptions coreOptions(const Settings &settings, std::uint64_t boot)
 {
     HostCoreOptions options;
@@ -58,7 +52,7 @@
 ControlWorker::ControlWorker(const Settings &settings, ProxyEngine &engine)
     : settings_(settings)
     , self_(hostIdOf(settings))
-    , boot_(bootNumber())
+    , boot_(bootNumberFromClock())
     , engine_(engine)
     , core_(coreOptions(settings, boot_), steadyNow())
     , thread_("control", kRingCapacity)
--- a/src/daemon/peer_link.cpp
+++ b/src/daemon/peer_link.cpp
@@ -4,8 +4,6 @@
 #include "peering/codec.h"
 
 #include <chrono>
-#include <fstream>
-#include <iterator>
 #include <nlohmann/json.hpp>
 
 namespace medlarway
@@ -19,27 +17,8 @@
 constexpr std::uint64_t kControlBurstSeconds = 20;
 constexpr std::uint64_t kRequestBurstSeconds = 1;
 
-std::string readKeyFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        throw Error(ErrorKind::BadSettings, "the peer key file " + path + " can't be read");
-    }
-    return {std::istreambuf_iterator<char>(file), {}};
-}
-
 } // namespace
 
-PeerKeys loadPeerKeys(const std::string &keyFile, const std::string &previousKeyFile)
-{
-    PeerKeys keys;
-    keys.current = parsePeerKey(readKeyFile(keyFile));
-    if (!previousKeyFile.empty()) {
-        keys.previous = parsePeerKey(readKeyFile(previousKeyFile));
-    }
-    return keys;
-}
-
 PeerLink::PeerLink(const PeerLinkOptions &options, WorkerThread &controlThread, Handler handler)
     : envelope_(options.self, options.boot, options.keys)
     , controlBudget_(options.controlBytesPerSecond, options.controlBytesPerSecond * kControlBurstSeconds)
--- a/src/daemon/peer_link.h
+++ b/src/daemon/peer_link.h
@@ -70,8 +70,4 @@
     std::unique_ptr<ControlSocket> socket_;
 };
 
-/// Reads the peer keys from files. An empty previousKeyFile means that there is no previous key. Throws
-/// Error(BadSettings) if a file can't be read or parsed.
-PeerKeys loadPeerKeys(const std::string &keyFile, const std::string &previousKeyFile);
-
 } // namespace medlarway
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -4,7 +4,9 @@
 #include "base/version.h"
 #include "entry/entry_pages.h"
 #include "entry/flow_log.h"
+#include "peering/boot_number.h"
 #include "peering/codec.h"
+#include "peering/key_file.h"
 #include "platform/readiness.h"
 #include "yaml/fault.h"
 
@@ -38,7 +40,7 @@
 
 // How long after the store's last response the configuration counts as up to date, so that a missing route means a reset: the longest
 // time that a watch request stays pending before it times out.
-constexpr Duration kFreshness = StoreFeedOptions{}.wait + StoreFeedOptions{}.timeouts.responseTimeout;
+constexpr Duration kFreshness = WatchPace{}.wait + StoreTimeouts{}.responseTimeout;
 
 // Limit of the flows shown on the /flows page.
 constexpr std::size_t kMaxFlowsShown = 1000;
@@ -52,6 +54,31 @@
     return options;
 }
 
+std::vector<HostId> seedIds(const EntrySettings &settings)
+{
+    std::vector<HostId> ids;
+    for (const auto &seed : settings.seeds) {
+        ids.push_back(hostIdOf({seed.address, settings.peers.port}));
+    }
+    return ids;
+}
+
+PeerFeedOptions peerFeedOptions(const EntrySettings &settings)
+{
+    PeerFeedOptions options;
+    options.listen = settings.peers;
+    options.follower.self = hostIdOf(settings.peers);
+    options.follower.control = settings.control;
+    options.follower.zone = settings.zone;
+    options.follower.seeds = seedIds(settings);
+    options.follower.timing = timingFor({settings.drainBound, settings.configBound});
+    options.follower.seed = combineHash(hashBytes(settings.name), bootNumberFromClock());
+    if (!settings.keyFile.empty()) {
+        options.keys = loadPeerKeys(settings.keyFile, settings.previousKeyFile);
+    }
+    return options;
+}
+
 StoreFeedOptions feedOptions(const EntrySettings &settings)
 {
     StoreFeedOptions options;
@@ -65,6 +92,7 @@
 EntryHost::EntryHost(std::string settingsFile, const EntrySettings &settings)
     : settingsFile_(std::move(settingsFile))
     , settings_(settings)
+    , timing_(timingFor({settings.drainBound, settings.configBound}))
     , signals_(context_, SIGTERM, SIGINT, SIGHUP)
     , ticker_(context_)
     , steering_(steeringOptions(settings))
@@ -73,6 +101,7 @@
     , prober_(context_)
     , peerHosts_(settings.control, combineHash(settings.control.address, settings.control.port))
     , snapshotPoller_(context_, settings.control, peerHosts_, snapshotCallbacks())
+    , peerFeed_(context_, peerFeedOptions(settings), peerFeedCallbacks())
     , readyServer_(context_, settings.ready, [this](const std::string &target) { return serveReady(target); })
     , controlServer_(context_, settings.control, [this](const std::string &target) { return serveControl(target); })
 {
@@ -81,7 +110,9 @@
 void EntryHost::run()
 {
     peerHosts_.setSeeds(settings_.seeds);
+    feed_.setReading(false);
     feed_.start();
+    peerFeed_.start();
     snapshotPoller_.start();
     packets_.start();
     readyServer_.start();
@@ -119,8 +150,8 @@
         return;
     }
     logEvent(Event::WokeLate, {field("milliseconds", std::chrono::duration_cast<std::chrono::milliseconds>(*pause).count())});
-    resumedAt_ = monotonicNow();
     stalePackets_ = true;
+    peerFeed_.onPause();
     feed_.reconnect();
 }
 
@@ -135,11 +166,11 @@
     // that upstream's token and divert the open flow.
     if (stalePackets_ && packet->syn) {
         count(Counter::OpeningsDropped);
-        logFlow(Event::FlowUnanswered, steering_, {packet->flow, "paused", kNoUpstream, feed_.lastResponseAt()}, now);
+        logFlow(Event::FlowUnanswered, steering_, {packet->flow, "paused", kNoUpstream, peerFeed_.follower().confirmedAt()}, now);
         return;
     }
     const auto decision = steering_.onPacket(*packet, now);
-    logDecision(steering_, packet->flow, decision, feed_.lastResponseAt(), now);
+    logDecision(steering_, packet->flow, decision, peerFeed_.follower().confirmedAt(), now);
     if (decision.action == SteeringAction::Forward) {
         const auto &upstream = steering_.directory().at(decision.upstream);
         writeToken(datagram, upstream.token);
@@ -158,6 +189,10 @@
     updateFreshness();
     steering_.tick(now);
     handleLivenessEvents();
+    const auto unknown = steering_.countOf(SteeringReason::NoRoute) + steering_.countOf(SteeringReason::RouteUncertain);
+    routeUnknown_ = unknown != std::exchange(routeUnknownCount_, unknown);
+    urgent_ = pauseAfterChanges(timing_, urgency()) < timing_.pause;
+    updatePace();
     flushLog();
     if (stopping_ && canExit(now)) {
         context_.stop();
@@ -173,7 +208,8 @@
 
 void EntryHost::updateFreshness()
 {
-    steering_.setFreshUntil(feed_.lastResponseAt() <= resumedAt_ ? Time{} : feed_.lastResponseAt() + kFreshness);
+    const auto confirmedAt = peerFeed_.follower().confirmedAt();
+    steering_.setFreshUntil(confirmedAt == Time{} ? Time{} : confirmedAt + kFreshness);
 }
 
 void EntryHost::handleLivenessEvents()
@@ -215,7 +251,8 @@
     resets.reserve(flows.size());
     std::vector<OutgoingPacket> outgoing;
     for (const auto &aborted : flows) {
-        logFlow(Event::FlowReset, steering_, {aborted.flow, "upstream-unreachable", index, feed_.lastResponseAt()}, monotonicNow());
+        logFlow(Event::FlowReset, steering_, {aborted.flow, "upstream-unreachable", index, peerFeed_.follower().confirmedAt()},
+                monotonicNow());
         resets.push_back(resetForFlow(aborted.flow, aborted.acknowledged));
         outgoing.push_back({Endpoint{aborted.flow.client.address, settings_.packets.port}, {}, 0, resets.back()});
     }
@@ -234,11 +271,71 @@
     sink.complete = [this](const std::vector<std::string> &ids, std::uint64_t revision) {
         const auto removed = steering_.directory().removeUnlisted(ids, revision, monotonicNow());
         upstreamsLoaded_ = true;
+        trackedFrom_ = revision;
         logEvent(Event::CatalogueAccepted, {field("upstreams", ids.size()), field("removed", removed), field("revision", revision)});
     };
+    sink.confirmed = [this] {
+        knownRevision_ = std::max(knownRevision_, feed_.asOf());
+        peerFeed_.onPlatformConfirmed(feed_.lastResponseAt());
+    };
+    sink.failed = [this] { peerFeed_.onPlatformFailed(); };
     return sink;
 }
 
+PeerFeedCallbacks EntryHost::peerFeedCallbacks()
+{
+    PeerFeedCallbacks callbacks;
+    callbacks.known = [this] { return known(); };
+    callbacks.urgent = [this] { return urgent_; };
+    callbacks.makeDelta = [this](const KnownData &receiver) { return takeDelta(steering_, receiver, knownRevision_, trackedFrom_); };
+    callbacks.apply = [this](const SteeringDelta &delta, HostId from) { applyPeerDelta(delta, from); };
+    callbacks.readReasonChanged = [this](ReadReason reason) { onReadReason(reason); };
+    callbacks.beforeUse = [this] { checkForPause(); };
+    return callbacks;
+}
+
+void EntryHost::applyPeerDelta(const SteeringDelta &delta, HostId from)
+{
+    const auto versionBefore = steering_.routes().version();
+    const bool changed = applyDelta(steering_, delta, monotonicNow());
+    if (delta.full && delta.asOf > knownRevision_) {
+        trackedFrom_ = delta.asOf;
+    }
+    knownRevision_ = std::max(knownRevision_, delta.asOf);
+    upstreamsLoaded_ = true;
+    feed_.resumeFrom(delta.asOf);
+    if (changed) {
+        logEvent(Event::PeerSnapshotTaken, {field("peer", endpointToString(endpointOf(from))), field("revision", delta.asOf),
+                                            field("version", steering_.routes().version()), field("before", versionBefore),
+                                            field("upstreams", delta.upstreams.size()), field("removed", delta.removed.size())});
+    }
+}
+
+void EntryHost::onReadReason(ReadReason reason)
+{
+    feed_.setReading(reason != ReadReason::None);
+    updatePace();
+}
+
+ReadUrgency EntryHost::urgency() const
+{
+    ReadUrgency urgency;
+    urgency.upstreamSuspected = steering_.hasSuspectedTraffic();
+    urgency.routeUnknown = routeUnknown_;
+    urgency.afterGap = peerFeed_.follower().confirmedAt() == Time{};
+    urgency.followerUrgent = peerFeed_.followerUrgent();
+    return urgency;
+}
+
+// A host that others may follow has to confirm their data in time. One that is alone in its zone may leave its watch for longer.
+void EntryHost::updatePace()
+{
+    WatchPace pace;
+    pace.pauseAfterChanges = urgent_ ? timing_.urgentPause : timing_.pause;
+    pace.wait = peerFeed_.follower().knownZoneHosts() > 1 ? timing_.watchWait : WatchPace{}.wait;
+    feed_.setPace(pace);
+}
+
 void EntryHost::applyConfig(const RouteConfig &config)
 {
     const auto before = steering_.routes().version();
@@ -272,7 +369,13 @@
     status.storeReachable = feed_.reachable();
     status.lastStoreResponse = feed_.lastResponseAt();
     status.storeRevision = feed_.asOf();
-    status.knownRevision = knownRevision();
+    status.knownRevision = knownRevision_;
+    status.confirmedAt = peerFeed_.follower().confirmedAt();
+    status.source = peerFeed_.follower().source();
+    status.self = hostIdOf(settings_.peers);
+    status.readReason = readReasonName(peerFeed_.follower().readReason(monotonicNow()));
+    status.zoneHosts = peerFeed_.follower().knownZoneHosts();
+    status.heldRequests = peerFeed_.heldRequests();
     status.peers = peerHosts_.recent(monotonicNow());
     return status;
 }
@@ -291,6 +394,9 @@
     if (const auto request = parseSnapshotTarget(target)) {
         return serveSnapshot(*request);
     }
+    if (auto page = peerFeed_.serve(target)) {
+        return *page;
+    }
     if (target == "/metrics" || target == "/counters") {
         return {kStatusOk, "text/plain; version=0.0.4; charset=utf-8", entryMetrics(steering_, packets_.counts())};
     }
@@ -306,21 +412,22 @@
 PeerSnapshotPoller::Callbacks EntryHost::snapshotCallbacks()
 {
     PeerSnapshotPoller::Callbacks callbacks;
-    callbacks.needed = [this] { return !feed_.reachable(); };
-    callbacks.knownRevision = [this] { return knownRevision(); };
+    callbacks.needed = [this] { return monotonicNow() - peerFeed_.follower().confirmedAt() > timing_.maxAge && !feed_.reachable(); };
+    callbacks.knownRevision = [this] { return knownRevision_; };
     callbacks.apply = [this](const SteeringSnapshot &snapshot, const Endpoint &from) { applyPeerSnapshot(snapshot, from); };
     return callbacks;
 }
 
-std::uint64_t EntryHost::knownRevision() const
+KnownData EntryHost::known() const
 {
-    return std::max(feed_.asOf(), snapshotRevision_);
+    return {knownRevision_, steering_.routes().version()};
 }
 
 void EntryHost::applyPeerSnapshot(const SteeringSnapshot &snapshot, const Endpoint &from)
 {
     const bool changed = applySnapshot(steering_, snapshot, monotonicNow());
-    snapshotRevision_ = std::max(snapshotRevision_, snapshot.asOf);
+    trackedFrom_ = std::max(trackedFrom_, snapshot.asOf);
+    knownRevision_ = std::max(knownRevision_, snapshot.asOf);
     upstreamsLoaded_ = true;
     feed_.resumeFrom(snapshot.asOf);
     if (changed) {
@@ -336,10 +443,10 @@
     if (request.from) {
         peerHosts_.recordContact(*request.from, monotonicNow());
     }
-    if (!upstreamsLoaded_ || steering_.routes().version() == 0 || knownRevision() <= request.after) {
+    if (!upstreamsLoaded_ || steering_.routes().version() == 0 || knownRevision_ <= request.after) {
         return {kStatusNoContent, "application/cbor", ""};
     }
-    auto snapshot = takeSnapshot(steering_, knownRevision());
+    auto snapshot = takeSnapshot(steering_, knownRevision_);
     snapshot.hosts = peerHosts_.recent(monotonicNow());
     return {kStatusOk, "application/cbor", encodeMessage(snapshot)};
 }
@@ -372,6 +479,7 @@
         settings_.gracePeriod = wanted.gracePeriod;
         settings_.seeds = wanted.seeds;
         peerHosts_.setSeeds(settings_.seeds);
+        peerFeed_.setSeeds(seedIds(settings_));
         setLogLevel(settings_.logLevel);
         logEvent(Event::SettingsReloaded,
                  {field("needs-restart", restart.empty() ? "nothing" : fmt::format("{}", fmt::join(restart, ",")))});
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -3,6 +3,7 @@
 #include "entry/entry_pages.h"
 #include "entry/packet_socket.h"
 #include "entry/pause_detector.h"
+#include "entry/peer_feed.h"
 #include "entry/peer_hosts.h"
 #include "entry/peer_snapshots.h"
 #include "entry/upstream_probe.h"
@@ -50,9 +51,14 @@
     void probe(UpstreamIndex index);
     void resetFlowsOf(UpstreamIndex index);
     StoreFeedSink feedSink();
+    PeerFeedCallbacks peerFeedCallbacks();
+    void applyPeerDelta(const SteeringDelta &delta, HostId from);
+    void onReadReason(ReadReason reason);
+    void updatePace();
+    ReadUrgency urgency() const;
     PeerSnapshotPoller::Callbacks snapshotCallbacks();
     void applyPeerSnapshot(const SteeringSnapshot &snapshot, const Endpoint &from);
-    std::uint64_t knownRevision() const;
+    KnownData known() const;
     PageResponse serveSnapshot(const SnapshotRequest &request);
     EntryStatus status() const;
     PageResponse serveReady(const std::string &target) const;
@@ -60,6 +66,7 @@
 
     std::string settingsFile_;
     EntrySettings settings_;
+    ReplicationTiming timing_;
     boost::asio::io_context context_{1};
     boost::asio::signal_set signals_;
     boost::asio::steady_timer ticker_;
@@ -69,13 +76,17 @@
     UpstreamProber prober_;
     PeerHosts peerHosts_;
     PeerSnapshotPoller snapshotPoller_;
+    PeerFeed peerFeed_;
     PageServer readyServer_;
     PageServer controlServer_;
     std::vector<PacketHeader> resets_; ///< resets to send for the current batch
     bool upstreamsLoaded_ = false; ///< a complete list was received from the platform or a peer
-    std::uint64_t snapshotRevision_ = 0; ///< revision of the newest snapshot from a peer; 0 if there was none
+    std::uint64_t knownRevision_ = 0; ///< platform revision up to which the data is complete
+    std::uint64_t trackedFrom_ = 0; ///< revision from which on all removals are known
+    std::uint64_t routeUnknownCount_ = 0; ///< packets without a known route at the last tick
+    bool routeUnknown_ = false; ///< such packets came since
+    bool urgent_ = false; ///< callers of this host or of a follower wait for a change of the platform
     PauseDetector pauseDetector_;
-    Time resumedAt_; ///< end of the last pause of the process
     bool stalePackets_ = false; ///< the socket may still hold packets that arrived during the pause
     bool stopping_ = false;
     Time stopRequestedAt_;
--- a/src/entry/entry_pages.h
+++ b/src/entry/entry_pages.h
@@ -4,6 +4,7 @@
 #include "steering/flow_steering.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace medlarway
@@ -21,7 +22,13 @@
     bool storeReachable = false; ///< the last request to the store got a response
     Time lastStoreResponse; ///< the epoch if there was none
     std::uint64_t storeRevision = 0; ///< revision up to which the store feed is complete
-    std::uint64_t knownRevision = 0; ///< the higher of storeRevision and the revision of the newest peer snapshot
+    std::uint64_t knownRevision = 0; ///< revision up to which the data is complete, whoever supplied it
+    Time confirmedAt; ///< when the platform last confirmed the data, to this host or to one that passed it on; Time{} if never
+    HostId self;
+    HostId source; ///< the host that this one follows, or itself
+    std::string_view readReason; ///< why it reads the platform
+    std::size_t zoneHosts = 0; ///< known hosts in its zone
+    std::size_t heldRequests = 0; ///< requests of followers that wait for news
     std::vector<Endpoint> peers; ///< control addresses of entry hosts that were seen recently
 };
 
--- /dev/null
+++ b/src/entry/peer_feed.cpp
@@ -0,0 +1,302 @@
+#include "entry/peer_feed.h"
+
+#include "base/errors.h"
+#include "pages/http_client.h"
+#include "pages/query.h"
+#include "peering/boot_number.h"
+#include "peering/codec.h"
+#include "yaml/scalars.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace medlarway
+{
+
+namespace
+{
+
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusNoContent = 204;
+
+// Time limits of a fetch: hosts are a few milliseconds apart, but a page may take a while on a link of 2 Mbit/s.
+constexpr std::chrono::milliseconds kConnectTimeout{300};
+constexpr std::chrono::milliseconds kFetchTimeout{2000};
+
+// The changes of a fleet with 9,100 upstreams and 2,500 routes take 1.5 MB.
+constexpr std::size_t kMaxPageBytes = 4U << 20U;
+
+// How long a follower's urgent request shortens this host's pauses.
+constexpr Duration kUrgency = std::chrono::seconds{1};
+
+// One in this many replies to a follower has the list of hosts, which changes rarely.
+constexpr std::uint64_t kRepliesPerHostList = 8;
+
+// Largest encoded reply; its envelope has to fit into the datagram too.
+constexpr std::size_t kMaxReplyBytes = kMaxRelayBytes - kEnvelopeBytes;
+
+// The boot number that a host knows of the receiver, which was refused for a lower one.
+struct BootNumber {
+    std::uint64_t known = 0;
+};
+
+} // namespace
+
+PeerFeed::PeerFeed(boost::asio::io_context &context, const PeerFeedOptions &options, PeerFeedCallbacks callbacks)
+    : context_(context)
+    , callbacks_(std::move(callbacks))
+    , self_(options.follower.self)
+    , maxAge_(options.follower.timing.maxAge)
+    , envelope_(self_, bootNumberFromClock(), options.keys)
+    , follower_(options.follower, monotonicNow())
+    , socket_(context, options.listen, [this](std::string_view sealed) { receive(sealed); })
+    , timer_(context)
+    , source_(self_)
+{
+}
+
+void PeerFeed::start()
+{
+    update();
+}
+
+void PeerFeed::setSeeds(std::vector<HostId> seeds)
+{
+    follower_.setSeeds(std::move(seeds));
+}
+
+void PeerFeed::onPlatformConfirmed(Time at)
+{
+    follower_.onPlatformConfirmed(at);
+    update();
+}
+
+void PeerFeed::onPlatformFailed()
+{
+    follower_.onPlatformFailed(monotonicNow());
+    update();
+}
+
+void PeerFeed::onPause()
+{
+    follower_.onPause(monotonicNow());
+}
+
+void PeerFeed::update()
+{
+    const auto now = monotonicNow();
+    follower_.tick(callbacks_.known(), callbacks_.urgent(), now, outbox_);
+    for (const auto &[to, request] : std::exchange(outbox_, {})) {
+        count(Counter::FollowRequestsSent);
+        send(to, MessageKind::Request, encodeMessage(request));
+    }
+    answerHeld();
+    if (follower_.source() != source_) {
+        source_ = follower_.source();
+        logEvent(Event::SourceChosen,
+                 {field("source", source_ == self_ ? "platform" : endpointToString(endpointOf(source_))),
+                  field("zone-hosts", follower_.knownZoneHosts()), field("revision", callbacks_.known().asOf),
+                  field("age-ms", std::chrono::duration_cast<std::chrono::milliseconds>(confirmedAgo(now).value_or(Duration{})).count())});
+    }
+    if (const auto reason = follower_.readReason(now); reason != readReason_) {
+        logEvent(Event::ReadingChanged,
+                 {field("reason", readReasonName(reason)), field("before", readReasonName(readReason_)),
+                  field("revision", callbacks_.known().asOf), field("followers", held_.size()),
+                  field("age-ms", std::chrono::duration_cast<std::chrono::milliseconds>(confirmedAgo(now).value_or(Duration{})).count())});
+        readReason_ = reason;
+        callbacks_.readReasonChanged(reason);
+    }
+    scheduleUpdate();
+}
+
+void PeerFeed::scheduleUpdate()
+{
+    auto next = follower_.nextTick();
+    if (const auto due = held_.nextDue()) {
+        next = std::min(next, *due);
+    }
+    timer_.expires_at(std::chrono::time_point_cast<std::chrono::steady_clock::duration>(next));
+    timer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            callbacks_.beforeUse();
+            update();
+        }
+    });
+}
+
+void PeerFeed::receive(std::string_view sealed)
+{
+    callbacks_.beforeUse();
+    count(Counter::PeerBytesReceived, sealed.size());
+    try {
+        handle(envelope_.open(sealed));
+    } catch (const Error &error) {
+        reportError(error.kind(), error.what());
+        if (error.kind() == ErrorKind::PeerStaleBoot) {
+            const auto sender = Envelope::senderOf(sealed);
+            send(sender, MessageKind::BootNotice, encodeMessage(BootNumber{envelope_.lastSeenBoot(sender)}));
+        }
+    }
+    update();
+}
+
+void PeerFeed::handle(const OpenedMessage &message)
+{
+    count(Counter::PeerMessagesReceived);
+    const auto now = monotonicNow();
+    switch (static_cast<MessageKind>(message.kind)) {
+    case MessageKind::Request: {
+        const auto request = decodeMessage<FeedRequest>(message.body);
+        follower_.onRequest(message.from, request, now);
+        if (request.urgent) {
+            followerUrgentUntil_ = now + kUrgency;
+        }
+        held_.add(message.from, request, sourceState(), maxAge_, now);
+        return;
+    }
+    case MessageKind::Reply:
+        handleReply(message.from, decodeMessage<FeedReply>(message.body));
+        return;
+    case MessageKind::BootNotice:
+        envelope_.raiseBoot(decodeMessage<BootNumber>(message.body).known);
+        return;
+    case MessageKind::Page:
+        break;
+    }
+    throw Error(ErrorKind::PeerMalformed, "unknown kind of a feed message");
+}
+
+void PeerFeed::handleReply(HostId from, const FeedReply &reply)
+{
+    switch (follower_.onReply(from, reply, monotonicNow())) {
+    case ReplyUse::Ignore:
+        return;
+    case ReplyUse::Apply:
+        callbacks_.apply(reply.delta, from);
+        return;
+    case ReplyUse::Fetch:
+        boost::asio::co_spawn(context_, fetch(from, follower_.hosts().controlOf(from).value_or(Endpoint{})), boost::asio::detached);
+        return;
+    }
+}
+
+SourceState PeerFeed::sourceState() const
+{
+    return {callbacks_.known(), follower_.confirmedAt(), follower_.platformFails()};
+}
+
+std::optional<Duration> PeerFeed::confirmedAgo(Time now) const
+{
+    return follower_.confirmedAt() == Time{} ? std::nullopt : std::optional(now - follower_.confirmedAt());
+}
+
+void PeerFeed::answerHeld()
+{
+    for (const auto &held : held_.takeAnswerable(sourceState(), monotonicNow())) {
+        answer(held);
+    }
+}
+
+// Changes that don't fit into a datagram are left out, and the follower fetches them.
+void PeerFeed::answer(const HeldRequest &held)
+{
+    const auto now = monotonicNow();
+    const auto known = callbacks_.known();
+    FeedReply reply;
+    reply.number = held.request.number;
+    reply.held = now - held.receivedAt;
+    reply.asOf = known.asOf;
+    reply.confirmedAgo = confirmedAgo(now);
+    reply.platformFails = follower_.platformFails();
+    reply.zone = follower_.options().zone;
+    reply.control = follower_.options().control;
+    reply.zoneHosts = static_cast<std::uint32_t>(follower_.hosts().countIn(held.request.zone));
+    if (held.request.hold == Duration{} || held.request.number % kRepliesPerHostList == 0) {
+        reply.hosts = follower_.hosts().report(held.request.zone, now);
+    }
+    const KnownData receiver{held.request.after, held.request.version};
+    reply.fetch = known.asOf != 0 && receiver.asOf == 0;
+    if (known.asOf != 0 && !reply.fetch) {
+        reply.delta = callbacks_.makeDelta(receiver);
+    }
+    auto body = encodeMessage(reply);
+    if (body.size() > kMaxReplyBytes && !reply.fetch) {
+        reply.fetch = true;
+        reply.delta = {};
+        body = encodeMessage(reply);
+    }
+    count(Counter::FollowRepliesSent);
+    send(held.from, MessageKind::Reply, body);
+}
+
+void PeerFeed::send(HostId to, MessageKind kind, const std::string &body)
+{
+    const auto sealed = envelope_.seal(to, static_cast<std::uint8_t>(kind), body);
+    if (socket_.send(to, sealed)) {
+        count(Counter::PeerMessagesSent);
+        count(Counter::PeerBytesSent, sealed.size());
+    }
+}
+
+boost::asio::awaitable<void> PeerFeed::fetch(HostId from, Endpoint control)
+{
+    const auto startedAt = monotonicNow();
+    const auto known = callbacks_.known();
+    HttpClient reader(context_, control);
+    const auto response = co_await reader.get(fmt::format("{}?after={}&version={}&from={}", kDeltaPath, known.asOf, known.version,
+                                                          encodeQueryValue(endpointToString(endpointOf(self_)))),
+                                              kFetchTimeout, kConnectTimeout);
+    reader.close();
+    callbacks_.beforeUse();
+    if (!response || response->status != kStatusOk || !applyPage(from, response->body, startedAt)) {
+        follower_.onFetched(from, false, std::nullopt, startedAt);
+    }
+    update();
+}
+
+// True if the page was applied; its data may then count as confirmed.
+bool PeerFeed::applyPage(HostId from, const std::string &sealed, Time startedAt)
+{
+    try {
+        const auto opened = envelope_.open(sealed, kMaxPageBytes);
+        if (opened.from != from || static_cast<MessageKind>(opened.kind) != MessageKind::Page) {
+            throw Error(ErrorKind::PeerMalformed, "not a page of the host that was asked");
+        }
+        const auto page = decodeMessage<FeedPage>(opened.body, kMaxPageBytes);
+        count(Counter::DeltasFetched);
+        callbacks_.apply(decodeMessage<SteeringDelta>(page.delta, kMaxPageBytes), from);
+        follower_.onFetched(from, true, page.confirmedAgo, startedAt);
+        return true;
+    } catch (const Error &error) {
+        reportError(error.kind(), fmt::format("page of {}: {}", endpointToString(endpointOf(from)), error.what()));
+        return false;
+    }
+}
+
+std::optional<PageResponse> PeerFeed::serve(const std::string &target)
+{
+    const auto parsed = parseTarget(target);
+    if (!parsed || parsed->path != kDeltaPath) {
+        return std::nullopt;
+    }
+    callbacks_.beforeUse();
+    auto query = parsed->query;
+    const auto after = parseNumber(query["after"]);
+    const auto version = parseNumber(query["version"]);
+    const auto from = parseEndpoint(query["from"]);
+    const auto known = callbacks_.known();
+    if (!after || !version || !from || known.asOf == 0) {
+        return PageResponse{kStatusNoContent, "application/cbor", ""};
+    }
+    const KnownData receiver{*after, *version};
+    if (page_.delta.empty() || page_.receiver != receiver || page_.known != known) {
+        page_ = CachedPage{receiver, known, encodeMessage(callbacks_.makeDelta(receiver))};
+    }
+    count(Counter::DeltasServed);
+    const auto body = encodeMessage(FeedPage{confirmedAgo(monotonicNow()), page_.delta});
+    return PageResponse{kStatusOk, "application/cbor", envelope_.seal(hostIdOf(*from), static_cast<std::uint8_t>(MessageKind::Page), body)};
+}
+
+} // namespace medlarway
--- /dev/null
+++ b/src/entry/peer_feed.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "pages/page_server.h"
+#include "peering/envelope.h"
+#include "peering/relay_socket.h"
+#include "replication/follower.h"
+#include "replication/held_requests.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace medlarway
+{
+
+/// Path at which a host serves changes that exceed a datagram: GET kDeltaPath?after=REVISION&version=VERSION&from=PEER-ADDRESS.
+inline constexpr std::string_view kDeltaPath = "/delta";
+
+/// Options of a PeerFeed.
+struct PeerFeedOptions {
+    Endpoint listen; ///< for datagrams; all hosts use the same port
+    FollowerOptions follower;
+    PeerKeys keys; ///< the default key protects against accidents only
+};
+
+/// Functions of the owner of a PeerFeed, called on the thread that runs the context.
+struct PeerFeedCallbacks {
+    std::function<KnownData()> known;
+    std::function<bool()> urgent; ///< whether callers wait for a change of the platform
+    std::function<SteeringDelta(const KnownData &receiver)> makeDelta;
+    std::function<void(const SteeringDelta &delta, HostId from)> apply;
+    std::function<void(ReadReason reason)> readReasonChanged;
+    std::function<void()> beforeUse; ///< called before anything is received or answered, to detect a pause of the process
+};
+
+/// The exchange of the platform's data between entry hosts: I/O of a Follower and of HeldRequests. Runs on the context's thread.
+class PeerFeed
+{
+public:
+    /// Binds the socket. Throws Error(AddressTaken).
+    PeerFeed(boost::asio::io_context &context, const PeerFeedOptions &options, PeerFeedCallbacks callbacks);
+
+    void start();
+
+    /// Tells what the platform did for this host. After a response, the waiting followers are answered.
+    void onPlatformConfirmed(Time at);
+    void onPlatformFailed();
+    void onPause();
+
+    void setSeeds(std::vector<HostId> seeds);
+
+    /// Sends what is due; also called by a timer.
+    void update();
+
+    /// Serves kDeltaPath; nullopt for any other target.
+    std::optional<PageResponse> serve(const std::string &target);
+
+    const Follower &follower() const
+    {
+        return follower_;
+    }
+
+    /// Whether a follower asked for changes because its callers wait for one.
+    bool followerUrgent() const
+    {
+        return followerUrgentUntil_ > monotonicNow();
+    }
+
+    std::size_t heldRequests() const
+    {
+        return held_.size();
+    }
+
+private:
+    enum class MessageKind : std::uint8_t {
+        Request,
+        Reply,
+        BootNotice,
+        Page,
+    };
+
+    /// The last encoded page. Followers of one reader mostly ask for the same changes.
+    struct CachedPage {
+        KnownData receiver;
+        KnownData known;
+        std::string delta;
+    };
+
+    void receive(std::string_view sealed);
+    void handle(const OpenedMessage &message);
+    void handleReply(HostId from, const FeedReply &reply);
+    void answerHeld();
+    void answer(const HeldRequest &held);
+    void send(HostId to, MessageKind kind, const std::string &body);
+    boost::asio::awaitable<void> fetch(HostId from, Endpoint control);
+    bool applyPage(HostId from, const std::string &sealed, Time startedAt);
+    SourceState sourceState() const;
+    std::optional<Duration> confirmedAgo(Time now) const;
+    void scheduleUpdate();
+
+    boost::asio::io_context &context_;
+    PeerFeedCallbacks callbacks_;
+    HostId self_;
+    Duration maxAge_;
+    Envelope envelope_;
+    Follower follower_;
+    HeldRequests held_;
+    RelaySocket socket_;
+    boost::asio::steady_timer timer_;
+    Outbox<FeedRequest> outbox_;
+    ReadReason readReason_ = ReadReason::None;
+    HostId source_;
+    Time followerUrgentUntil_;
+    CachedPage page_;
+};
+
+} // namespace medlarway
--- a/src/peering/codec.h
+++ b/src/peering/codec.h
@@ -4,6 +4,7 @@
 #include "base/errors.h"
 #include "base/host.h"
 #include "base/time.h"
+#include "peering/message_limit.h"
 
 #include <boost/pfr.hpp>
 #include <concepts>
@@ -19,9 +20,6 @@
 namespace medlarway
 {
 
-/// Maximum size of an encoded message in bytes.
-inline constexpr std::size_t kMaxMessageBytes = 64U << 10U;
-
 /// Maximum nesting depth of an encoded message; all message types are far below it.
 inline constexpr int kMaxMessageDepth = 16;
 
--- a/src/peering/envelope.cpp
+++ b/src/peering/envelope.cpp
@@ -134,12 +134,12 @@
 }
 
 // Cheap checks come first. No field of the message is trusted before its tag has been verified.
-OpenedMessage Envelope::open(std::string_view bytes)
+OpenedMessage Envelope::open(std::string_view bytes, std::size_t maxBodyBytes)
 {
     if (bytes.size() < kEnvelopeBytes || static_cast<std::uint8_t>(bytes.front()) != kPeerProtocolVersion) {
         throw Error(ErrorKind::PeerMalformed, "the envelope is too short or has an unsupported version");
     }
-    if (bytes.size() > kMaxMessageBytes + kEnvelopeBytes) {
+    if (bytes.size() > maxBodyBytes + kEnvelopeBytes) {
         throw Error(ErrorKind::PeerOversized, "the envelope exceeds the size limit");
     }
     if (!tagMatches(bytes, self_, keys_.current) && !(keys_.previous && tagMatches(bytes, self_, *keys_.previous))) {
--- a/src/peering/envelope.h
+++ b/src/peering/envelope.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/host.h"
+#include "peering/message_limit.h"
 #include "peering/replay_window.h"
 
 #include <array>
@@ -54,7 +55,7 @@
 
     /// Verifies untrusted bytes. Throws Error with PeerMalformed, PeerOversized, PeerUnauthenticated,
     /// PeerReplayed or PeerStaleBoot.
-    OpenedMessage open(std::string_view bytes);
+    OpenedMessage open(std::string_view bytes, std::size_t maxBodyBytes = kMaxMessageBytes);
 
     /// The sender field of a sealed message. Call it only after open() has verified the tag, that is when open()
     /// returned or threw PeerReplayed or PeerStaleBoot.
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -63,19 +63,55 @@
 asio::awaitable<void> StoreFeed::run()
 {
     while (running_) {
-        const bool succeeded = co_await runNextStep();
-        if (std::exchange(reconnecting_, false)) {
+        if (!reading_) {
+            co_await waitUntilReading();
             continue;
         }
-        const auto rest
-            = succeeded ? (changed_ ? options_.pauseAfterChanges : Duration{}) : backoffAfter(failures_, options_.timeouts, random_);
-        if (rest > Duration{}) {
-            timer_.expires_after(toSteady(rest));
-            co_await timer_.async_wait(kWaitForCompletion);
+        const bool succeeded = co_await runNextStep();
+        if (!std::exchange(reconnecting_, false)) {
+            co_await rest(succeeded);
         }
     }
 }
 
+asio::awaitable<void> StoreFeed::rest(bool succeeded)
+{
+    const auto pause
+        = succeeded ? (changed_ ? options_.pace.pauseAfterChanges : Duration{}) : backoffAfter(failures_, options_.timeouts, random_);
+    if (pause > Duration{}) {
+        resting_ = succeeded;
+        restStartedAt_ = monotonicNow();
+        timer_.expires_after(toSteady(pause));
+        co_await timer_.async_wait(kWaitForCompletion);
+        resting_ = false;
+    }
+}
+
+asio::awaitable<void> StoreFeed::waitUntilReading()
+{
+    timer_.expires_at(std::chrono::steady_clock::time_point::max());
+    co_await timer_.async_wait(kWaitForCompletion);
+}
+
+void StoreFeed::setReading(bool reading)
+{
+    if (std::exchange(reading_, reading) == reading) {
+        return;
+    }
+    if (reading) {
+        confirmNext_ = true;
+        timer_.cancel();
+    }
+}
+
+void StoreFeed::setPace(const WatchPace &pace)
+{
+    options_.pace = pace;
+    if (resting_ && monotonicNow() - restStartedAt_ >= pace.pauseAfterChanges) {
+        timer_.cancel();
+    }
+}
+
 asio::awaitable<bool> StoreFeed::runNextStep()
 {
     if (asOf_ != 0) {
@@ -140,14 +176,15 @@
 void StoreFeed::resumeFrom(std::uint64_t asOf)
 {
     if (asOf_ == 0) {
-        asOf_ = asOf;
         fullRead_ = {};
     }
+    asOf_ = std::max(asOf_, asOf);
 }
 
 asio::awaitable<bool> StoreFeed::watch()
 {
-    const auto result = co_await client_.watch("", asOf_, options_.wait, responseTimeoutAfter(failures_, options_.timeouts));
+    const auto wait = std::exchange(confirmNext_, false) ? kMinWait : options_.pace.wait;
+    const auto result = co_await client_.watch("", asOf_, wait, responseTimeoutAfter(failures_, options_.timeouts));
     if (result.status == kStatusHistoryExpired) {
         asOf_ = 0;
         consistency_ = ReadConsistency::Latest;
@@ -198,6 +235,9 @@
         logEvent(Event::PlatformRecovered, {field("failures", failures_), field("revision", asOf)});
     }
     failures_ = 0;
+    if (sink_.confirmed) {
+        sink_.confirmed();
+    }
 }
 
 bool StoreFeed::recordFailure(std::string_view call, unsigned status)
@@ -208,6 +248,9 @@
     ++failures_;
     reportError(ErrorKind::PlatformUnreachable,
                 fmt::format("{}: {}", call, status == 0 ? "no response" : fmt::format("status {}", status)));
+    if (sink_.failed) {
+        sink_.failed();
+    }
     return false;
 }
 
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -10,15 +10,22 @@
 namespace medlarway
 {
 
+/// How often the store is called.
+struct WatchPace {
+    /// Delay before the next watch after a response with changes. The platform charges for each call, and a burst then needs few.
+    Duration pauseAfterChanges = std::chrono::milliseconds{250};
+    /// How long the store may hold a watch request before it responds. A call without a response for longer than this and the response
+    /// timeout fails. The sum must stay below 4 s, the time within which a host must detect that its connections receive nothing.
+    Duration wait = std::chrono::milliseconds{2800};
+
+    friend bool operator==(const WatchPace &, const WatchPace &) = default;
+};
+
 /// Options for reading the store.
 struct StoreFeedOptions {
     Endpoint address;
     std::uint64_t seed = 1; ///< seed of the backoff jitter
-    /// Delay before the next watch after a response with changes. The platform charges for each call, and a burst then needs few.
-    Duration pauseAfterChanges = std::chrono::milliseconds{250};
-    Duration wait = std::chrono::milliseconds{2800}; ///< how long the store may hold a watch request before it responds
-    /// A call without a response for longer than wait + timeouts.responseTimeout fails. The sum must stay below 4 s, the time within which
-    /// a host must detect that its connections receive nothing.
+    WatchPace pace; ///< until setPace() replaces it
     StoreTimeouts timeouts;
 
     friend bool operator==(const StoreFeedOptions &, const StoreFeedOptions &) = default;
@@ -31,6 +38,8 @@
     std::function<void(const std::string &id, std::uint64_t revision)> removed; ///< the entry was deleted or is invalid
     /// A full read has completed; ids are those of all upstreams.
     std::function<void(const std::vector<std::string> &ids, std::uint64_t revision)> complete;
+    std::function<void()> confirmed; ///< the store reported all changes up to asOf()
+    std::function<void()> failed; ///< a call failed
 };
 
 /// Reads the operator's configuration and the entries of all upstreams from the store, then watches for changes. Not thread-safe: runs on
@@ -40,11 +49,18 @@
 public:
     StoreFeed(boost::asio::io_context &context, const StoreFeedOptions &options, StoreFeedSink sink);
 
-    /// Starts reading.
+    /// Starts reading, unless setReading(false) was called.
     void start();
 
-    /// Called after a peer's snapshot supplied all data up to a store revision. If no full read has completed here, the feed skips it and
-    /// watches for changes after that revision, so hosts that start together need not all read everything.
+    /// Lets the feed read, or pause after the pending call: while another host supplies the data. The first call after a pause responds at
+    /// once, so that the data is confirmed.
+    void setReading(bool reading);
+
+    /// Changes the pace. A shorter pause takes effect at once.
+    void setPace(const WatchPace &pace);
+
+    /// Called after a peer supplied all data up to a store revision: the feed watches for changes after it. An incomplete full read is
+    /// skipped, so hosts that start together need not all read everything.
     void resumeFrom(std::uint64_t asOf);
 
     /// Closes the connection, which may be dead without an error, and repeats the call at once.
@@ -82,6 +98,8 @@
     };
 
     boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> rest(bool succeeded);
+    boost::asio::awaitable<void> waitUntilReading();
     boost::asio::awaitable<bool> runNextStep();
     boost::asio::awaitable<bool> readPage();
     boost::asio::awaitable<bool> catchUp();
@@ -104,6 +122,10 @@
     bool changed_ = false; ///< the last response contained changes
     Time lastResponseAt_;
     bool running_ = false;
+    bool reading_ = true; ///< see setReading()
+    bool confirmNext_ = false; ///< the next watch responds at once
+    bool resting_ = false; ///< in a pause after changes
+    Time restStartedAt_; ///< start of the current pause
     bool reconnecting_ = false; ///< reconnect() closed the connection, so the failure of the pending call is expected
 };
 
--- a/src/proxy/tcp_listener.cpp
+++ b/src/proxy/tcp_listener.cpp
@@ -17,8 +17,8 @@
 constexpr int kBacklog = 4096;
 constexpr auto kRetryDelay = std::chrono::milliseconds{50};
 
-// Attaches a packet filter that drops opening packets (SYN without ACK) and passes everything else. Accepted connections inherit it, which is
-// harmless, as they get no such packets. On failure, callers that connect while the listener closes may be reset.
+// Attaches a packet filter that drops opening packets (SYN without ACK) and passes everything else. Accepted connections inherit it, which
+// is harmless, as they get no such packets. On failure, callers that connect while the listener closes may be reset.
 void dropNewConnections(int socket)
 {
     constexpr std::uint32_t kFlagsOffset = 13; // of the TCP header
--- /dev/null
+++ b/src/replication/follower.cpp
@@ -0,0 +1,338 @@
+#include "replication/follower.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace medlarway
+{
+
+namespace
+{
+
+// Time for a reply beyond the time that the receiver may hold the request: some round trips, and the turn of a busy process.
+constexpr Duration kReplyTimeout = std::chrono::milliseconds{250};
+
+// Minimum time between two requests to a source, which limits the load if a source replies at once without news.
+constexpr Duration kMinRequestInterval = std::chrono::milliseconds{100};
+
+// Interval of the requests of a host that has no data yet.
+constexpr Duration kStartRetry = std::chrono::milliseconds{40};
+
+// A host that failed to supply data is not asked again for this time, doubled with each further failure up to the limit.
+constexpr Duration kMinPenalty = std::chrono::seconds{1};
+constexpr std::uint32_t kMaxPenaltyDoublings = 4;
+
+// Delays of the rounds in which all seeds are asked for hosts: hosts that start together learn of each other, and a round that was lost is
+// repeated.
+constexpr std::array<Duration, 4> kDiscoveryDelays{std::chrono::milliseconds{100}, std::chrono::milliseconds{300},
+                                                   std::chrono::milliseconds{1000}, std::chrono::milliseconds{3000}};
+
+// Interval of the later rounds, which ask a single host and so join groups of hosts that do not know of each other.
+constexpr Duration kDiscoveryInterval = std::chrono::seconds{10};
+
+// Number of hosts whose failure to read the platform is taken for the platform's fault, not theirs. Without this limit each host of a zone
+// would try to read while the platform is down.
+constexpr std::size_t kMaxStale = 3;
+
+// Number of hosts by rank among which a source is looked for.
+constexpr std::size_t kMaxCandidates = 64;
+
+// Time that a host which was paused waits for its source before it reads by itself.
+constexpr Duration kResumeWait = std::chrono::milliseconds{150};
+
+// Minimum time between two ticks that no message causes.
+constexpr Duration kMinTickInterval = std::chrono::milliseconds{5};
+
+// Share of the age limit by which hosts that lost the same reader at the same moment spread their own reads.
+constexpr double kAgeJitter = 0.25;
+
+} // namespace
+
+std::string_view readReasonName(ReadReason reason)
+{
+    switch (reason) {
+    case ReadReason::None:
+        return "none";
+    case ReadReason::Starting:
+        return "starting";
+    case ReadReason::Chosen:
+        return "chosen";
+    case ReadReason::Requested:
+        return "requested";
+    case ReadReason::DataTooOld:
+        return "data-too-old";
+    }
+    return "unknown";
+}
+
+Follower::Follower(FollowerOptions options, Time now)
+    : options_(std::move(options))
+    , random_(options_.seed)
+    , hosts_(options_.self, options_.zone)
+    , source_(options_.self)
+    , startedAt_(now)
+    , nextRequestAt_(now)
+    , nextDiscoveryAt_(now)
+{
+}
+
+void Follower::setSeeds(std::vector<HostId> seeds)
+{
+    options_.seeds = std::move(seeds);
+}
+
+bool Follower::isSeed() const
+{
+    return std::find(options_.seeds.begin(), options_.seeds.end(), options_.self) != options_.seeds.end();
+}
+
+void Follower::onRequest(HostId from, const FeedRequest &request, Time now)
+{
+    hosts_.recordContact(from, request.control, request.zone, now);
+    if (request.follow) {
+        requestedUntil_ = now + 3 * options_.timing.requestHold + kReplyTimeout;
+    }
+}
+
+ReplyUse Follower::onReply(HostId from, const FeedReply &reply, Time now)
+{
+    // Step 1. Match it with the request.
+    const auto found = requests_.find(from);
+    if (found == requests_.end() || found->second.number != reply.number) {
+        return ReplyUse::Ignore;
+    }
+    const auto request = found->second;
+    requests_.erase(found);
+    hosts_.recordContact(from, reply.control, reply.zone, now);
+    for (const auto &host : reply.hosts) {
+        hosts_.recordReported(host, now);
+    }
+    const bool fromSource = request.follow && from == source_;
+    if (fromSource) {
+        zoneHosts_ = std::max<std::size_t>(1, reply.zoneHosts);
+        probing_ = false;
+        nextRequestAt_ = std::max(now, request.sentAt + kMinRequestInterval);
+    }
+
+    // Step 2. A source that can't read the platform, or has not for too long, is no use.
+    const bool tooOld = !reply.confirmedAgo || *reply.confirmedAgo > options_.timing.maxAge;
+    if (fromSource && (reply.platformFails || tooOld)) {
+        penalize(from, Failure::StaleData, now);
+    } else if (fromSource) {
+        penalties_.erase(from);
+    }
+
+    // Step 3. Take its data. When the platform confirmed it follows from durations only, as clocks of hosts can't be compared: the reply
+    // was on its way for at most the part of the round trip in which it was not held.
+    if (reply.asOf < known_.asOf || reply.asOf == 0) {
+        return ReplyUse::Ignore;
+    }
+    if (reply.fetch) {
+        return std::exchange(fetching_, true) ? ReplyUse::Ignore : ReplyUse::Fetch;
+    }
+    if (reply.confirmedAgo) {
+        const auto underway = std::max(Duration{}, now - request.sentAt - reply.held);
+        confirm(now - underway - std::max(Duration{}, *reply.confirmedAgo));
+    }
+    return ReplyUse::Apply;
+}
+
+void Follower::onFetched(HostId from, bool succeeded, std::optional<Duration> confirmedAgo, Time startedAt)
+{
+    fetching_ = false;
+    if (!succeeded) {
+        penalize(from, Failure::NoReply, startedAt);
+    } else if (confirmedAgo) {
+        confirm(startedAt - std::max(Duration{}, *confirmedAgo));
+    }
+}
+
+void Follower::onPlatformConfirmed(Time at)
+{
+    platformFails_ = false;
+    penalties_.erase(options_.self);
+    confirm(at);
+}
+
+void Follower::onPlatformFailed(Time now)
+{
+    platformFails_ = true;
+    penalize(options_.self, Failure::StaleData, now);
+}
+
+void Follower::confirm(Time at)
+{
+    if (at > confirmedAt_) {
+        confirmedAt_ = at;
+        const double jitter = 1 + kAgeJitter * random_.unit();
+        readSelfAt_ = at + std::chrono::duration_cast<Duration>(options_.timing.maxAge * jitter);
+    }
+}
+
+void Follower::onPause(Time now)
+{
+    requests_.clear();
+    confirmedAt_ = Time{};
+    readSelfAt_ = now + kResumeWait;
+    nextRequestAt_ = now;
+    nextDiscoveryAt_ = std::min(nextDiscoveryAt_, now + kDiscoveryInterval);
+    probing_ = true;
+}
+
+void Follower::tick(const KnownData &known, bool urgent, Time now, Outbox<FeedRequest> &outbox)
+{
+    known_ = known;
+    urgent_ = urgent;
+    // Step 1. Give up on requests without a reply, then choose anew.
+    expireRequests(now);
+    const auto source = chooseSource(now);
+    if (source != source_) {
+        source_ = source;
+        probing_ = true; // its first reply shows whether it responds
+        nextRequestAt_ = now;
+    }
+    // Step 2. Ask for hosts, and for data if there is none yet.
+    if (now >= nextDiscoveryAt_) {
+        discover(now, outbox);
+    }
+    // Step 3. Ask the source for changes.
+    if (source_ != options_.self && known_.asOf != 0 && now >= nextRequestAt_ && !fetching_ && !requests_.contains(source_)) {
+        send(source_, probing_ ? Duration{} : options_.timing.requestHold, true, now, outbox);
+    }
+    nextTick_ = firstDue(now);
+}
+
+// A host without data asks every host that it knows, as any of them may have the data.
+void Follower::discover(Time now, Outbox<FeedRequest> &outbox)
+{
+    hosts_.expire(now);
+    std::vector<HostId> targets;
+    if (known_.asOf == 0 || discoveries_ < kDiscoveryDelays.size()) {
+        targets = options_.seeds;
+        const auto ranked = hosts_.ranked(options_.zone, known_.asOf == 0 ? kReportedHosts : 0);
+        targets.insert(targets.end(), ranked.begin(), ranked.end());
+    } else if (!options_.seeds.empty() && random_.unit() < 0.5) {
+        targets.push_back(options_.seeds[random_.below(options_.seeds.size())]);
+    } else if (const auto host = hosts_.any(random_)) {
+        targets.push_back(*host);
+    }
+    for (const auto host : targets) {
+        if (host != options_.self && !requests_.contains(host)) {
+            send(host, Duration{}, false, now, outbox);
+        }
+    }
+    if (known_.asOf == 0) {
+        nextDiscoveryAt_ = now + kStartRetry;
+        return;
+    }
+    const auto delay = discoveries_ < kDiscoveryDelays.size() ? kDiscoveryDelays.at(discoveries_) : kDiscoveryInterval;
+    ++discoveries_;
+    nextDiscoveryAt_ = now + std::chrono::duration_cast<Duration>(delay * (0.75 + 0.5 * random_.unit()));
+}
+
+void Follower::expireRequests(Time now)
+{
+    for (auto entry = requests_.begin(); entry != requests_.end();) {
+        const auto [host, request] = *entry;
+        if (now < request.expiresAt) {
+            ++entry;
+            continue;
+        }
+        entry = requests_.erase(entry);
+        if (!request.follow || host != source_) {
+            continue;
+        }
+        // A single datagram may be lost; a source that misses two requests has stopped, or its process is paused.
+        if (std::exchange(probing_, true)) {
+            penalize(host, Failure::NoReply, now);
+        }
+    }
+}
+
+HostId Follower::chooseSource(Time now) const
+{
+    // Step 1. The first hosts by rank, without those that failed recently.
+    const auto readers = 1 + (knownZoneHosts() - 1) / kFollowersPerReader;
+    std::vector<HostId> candidates;
+    std::vector<HostId> stale;
+    for (const auto host : hosts_.ranked(options_.zone, kMaxCandidates)) {
+        const auto *penalty = penaltyOf(host, now);
+        if (penalty == nullptr) {
+            candidates.push_back(host);
+        } else if (penalty->failure == Failure::StaleData) {
+            stale.push_back(host);
+        }
+        if (candidates.size() == readers || stale.size() == kMaxStale) {
+            break;
+        }
+    }
+    // Step 2. If no host can read, stay with the first until the platform responds again.
+    if (candidates.empty()) {
+        return stale.empty() ? options_.self : stale.front();
+    }
+    // Step 3. The candidates read. Each other host follows one of them, always the same, which spreads the followers.
+    if (std::find(candidates.begin(), candidates.end(), options_.self) != candidates.end()) {
+        return options_.self;
+    }
+    return candidates[combineHash(options_.self.value, readers) % candidates.size()];
+}
+
+void Follower::send(HostId to, Duration hold, bool follow, Time now, Outbox<FeedRequest> &outbox)
+{
+    const FeedRequest request{random_(), known_.asOf, known_.version, hold, follow, urgent_, options_.zone, options_.control};
+    requests_[to] = Request{request.number, now, now + hold + kReplyTimeout, follow};
+    outbox.push_back({to, request});
+}
+
+void Follower::penalize(HostId host, Failure failure, Time now)
+{
+    auto &penalty = penalties_[host];
+    penalty.failure = failure;
+    penalty.until = now + kMinPenalty * (1U << std::min(penalty.failures, kMaxPenaltyDoublings));
+    ++penalty.failures;
+    requests_.erase(host);
+}
+
+const Follower::Penalty *Follower::penaltyOf(HostId host, Time now) const
+{
+    const auto found = penalties_.find(host);
+    return found != penalties_.end() && now < found->second.until ? &found->second : nullptr;
+}
+
+Time Follower::firstDue(Time now) const
+{
+    auto due = nextDiscoveryAt_;
+    for (const auto &[host, request] : requests_) {
+        due = std::min(due, request.expiresAt);
+    }
+    for (const auto &[host, penalty] : penalties_) {
+        due = penalty.until > now ? std::min(due, penalty.until) : due;
+    }
+    if (known_.asOf == 0) {
+        due = std::min(due, startedAt_ + kStartWait);
+    } else if (source_ != options_.self) {
+        due = std::min(due, readSelfAt_);
+        due = requests_.contains(source_) || fetching_ ? due : std::min(due, nextRequestAt_);
+    }
+    return std::max(due, now + kMinTickInterval);
+}
+
+ReadReason Follower::readReason(Time now) const
+{
+    if (known_.asOf == 0) {
+        const bool alone = options_.seeds.empty() || isSeed();
+        return alone || now - startedAt_ >= (fetching_ ? kStartFetchWait : kStartWait) ? ReadReason::Starting : ReadReason::None;
+    }
+    if (source_ == options_.self) {
+        return ReadReason::Chosen;
+    }
+    if (now < requestedUntil_) {
+        return ReadReason::Requested;
+    }
+    return now >= readSelfAt_ ? ReadReason::DataTooOld : ReadReason::None;
+}
+
+} // namespace medlarway
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <chrono>
 #include <fmt/format.h>
+#include <ratio>
 #include <utility>
 
 namespace medlarway
@@ -18,6 +19,8 @@
 constexpr std::uint64_t kMaxFileBytes = 1ULL << 20U;
 constexpr std::size_t kMaxSeeds = 64;
 constexpr double kMaxGraceSeconds = 3600;
+constexpr double kMinBoundMs = 1000; // below, hosts could not confirm their data in time
+constexpr double kMaxBoundMs = 600'000;
 constexpr Range<std::uint32_t> kFlows{1, 100'000'000};
 
 void readSeeds(MapReader &reader, Faults &faults, std::vector<Endpoint> &seeds)
@@ -32,22 +35,23 @@
     }
 }
 
-// A number of seconds that may have a fraction, since the platform's own limit may have one.
-void readGracePeriod(MapReader &reader, Duration &gracePeriod)
+// A number that may have a fraction, since the platform's own limits may have one. Without a value the default stays.
+template<class Unit>
+void readDuration(MapReader &reader, const char *key, double lowest, double highest, Duration &value)
 {
     std::string text;
-    reader.text("grace-seconds", text);
+    reader.text(key, text);
     if (text.empty()) {
         return;
     }
-    double seconds = 0;
+    double number = 0;
     const auto *end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data(), end, seconds);
-    if (error != std::errc{} || rest != end || !(seconds >= 0 && seconds <= kMaxGraceSeconds)) {
-        reader.addError("grace-seconds", fmt::format("must be a number from 0 to {}", kMaxGraceSeconds));
+    const auto [rest, error] = std::from_chars(text.data(), end, number);
+    if (error != std::errc{} || rest != end || !(number >= lowest && number <= highest)) {
+        reader.addError(key, fmt::format("must be a number from {} to {}", lowest, highest));
         return;
     }
-    gracePeriod = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    value = std::chrono::duration_cast<Duration>(std::chrono::duration<double, Unit>(number));
 }
 
 void readEntry(const YAML::Node &node, EntrySettings &settings, Faults &faults)
@@ -64,7 +68,11 @@
     reader.require("store").endpoint("store", settings.store);
     reader.require("peers").endpoint("peers", settings.peers);
     readSeeds(reader, faults, settings.seeds);
-    readGracePeriod(reader, settings.gracePeriod);
+    readDuration<std::ratio<1>>(reader, "grace-seconds", 0, kMaxGraceSeconds, settings.gracePeriod);
+    readDuration<std::milli>(reader, "drain-bound-ms", kMinBoundMs, kMaxBoundMs, settings.drainBound);
+    readDuration<std::milli>(reader, "config-bound-ms", kMinBoundMs, kMaxBoundMs, settings.configBound);
+    reader.text("key-file", settings.keyFile);
+    reader.text("previous-key-file", settings.previousKeyFile);
     reader.number("flows", settings.flows, kFlows);
     reader.rejectUnknownKeys();
     if (settings.ready.port != 0 && settings.ready == settings.control) {
@@ -130,6 +138,10 @@
     compare("control", running.control == wanted.control);
     compare("store", running.store == wanted.store);
     compare("peers", running.peers == wanted.peers);
+    compare("drain-bound-ms", running.drainBound == wanted.drainBound);
+    compare("config-bound-ms", running.configBound == wanted.configBound);
+    compare("key-file", running.keyFile == wanted.keyFile);
+    compare("previous-key-file", running.previousKeyFile == wanted.previousKeyFile);
     compare("flows", running.flows == wanted.flows);
     return names;
 }
--- a/src/settings/entry_settings.h
+++ b/src/settings/entry_settings.h
@@ -27,6 +27,10 @@
     Endpoint peers; ///< receives the messages of the other entry hosts
     std::vector<Endpoint> seeds; ///< control addresses of some entry hosts; these hosts may have stopped since
     Duration gracePeriod = std::chrono::seconds{6}; ///< time from the signal that requests a stop to the one that kills the process
+    Duration drainBound = std::chrono::seconds{3}; ///< an upstream that drains gets no new flows after this
+    Duration configBound = std::chrono::seconds{3}; ///< a new configuration is in force after this
+    std::string keyFile; ///< key of the messages between entry hosts; empty: they are not authenticated
+    std::string previousKeyFile; ///< also accepted, during a key rotation
     std::uint32_t flows = 100'000; ///< size of the flow table
 
     friend bool operator==(const EntrySettings &, const EntrySettings &) = default;
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -1,6 +1,7 @@
 #include "steering/directory.h"
 
 #include <algorithm>
+#include <boost/unordered/unordered_flat_set.hpp>
 #include <utility>
 
 namespace medlarway
@@ -68,13 +69,15 @@
 
 std::size_t UpstreamDirectory::removeUnlisted(std::span<const std::string> ids, std::uint64_t revision, Time now)
 {
+    const boost::unordered_flat_set<std::string_view> listed(ids.begin(), ids.end());
     std::size_t removed = 0;
     for (UpstreamIndex index = 0; index < upstreams_.size(); ++index) {
-        const auto &record = upstreams_[index];
+        auto &record = upstreams_[index];
         if (record.entry.id.empty() || record.presence != Presence::Listed || record.entry.revision > revision) {
             continue;
         }
-        if (std::find(ids.begin(), ids.end(), record.entry.id) == ids.end()) {
+        if (!listed.contains(record.entry.id)) {
+            record.entry.revision = revision;
             delist(index, Presence::Removed, now);
             ++removed;
         }
@@ -90,6 +93,7 @@
             || now - record.changedAt < kTombstoneDuration) {
             continue;
         }
+        forgottenUpTo_ = std::max(forgottenUpTo_, record.entry.revision);
         byId_.erase(record.entry.id);
         const auto owner = byAddress_.find(record.entry.address);
         if (owner != byAddress_.end() && owner->second == index) {
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -96,6 +96,12 @@
     /// Erases upstreams that were delisted kTombstoneDuration ago and have no flows on this host.
     void expire(Time now);
 
+    /// The highest platform revision of the upstreams that expire() has erased; 0 if there were none.
+    std::uint64_t forgottenUpTo() const
+    {
+        return forgottenUpTo_;
+    }
+
     /// Sets the expected load of every upstream to 0 before it is recomputed.
     void clearExpectedLoad();
 
@@ -140,6 +146,7 @@
     std::vector<UpstreamRecord> upstreams_;
     std::vector<UpstreamIndex> free_; ///< unused records
     std::size_t listed_ = 0;
+    std::uint64_t forgottenUpTo_ = 0; ///< see forgottenUpTo()
     boost::unordered_flat_map<std::string, UpstreamIndex> byId_;
     boost::unordered_flat_map<Endpoint, UpstreamIndex, std::hash<Endpoint>> byAddress_;
     boost::unordered_flat_map<FlowToken, std::vector<UpstreamIndex>> byToken_;
--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -463,6 +463,13 @@
     return std::exchange(events_, {});
 }
 
+bool FlowSteering::hasSuspectedTraffic() const
+{
+    const auto upstreams = directory_.all();
+    return std::any_of(upstreams.begin(), upstreams.end(),
+                       [](const auto &upstream) { return upstream.flows > 0 && upstream.liveness.suspectedAt.has_value(); });
+}
+
 const SteeredFlow *FlowSteering::findFlow(const FlowId &flow) const
 {
     const auto found = flows_.find(flow);
--- a/src/steering/flow_steering.h
+++ b/src/steering/flow_steering.h
@@ -151,6 +151,14 @@
         return directory_;
     }
 
+    std::uint64_t countOf(SteeringReason reason) const
+    {
+        return counts_.at(static_cast<std::size_t>(reason));
+    }
+
+    /// Whether an upstream with flows of this host is suspected to be down.
+    bool hasSuspectedTraffic() const;
+
     const SteeredFlow *findFlow(const FlowId &flow) const;
 
     /// The flow table, in no particular order.
--- a/src/steering/snapshot.cpp
+++ b/src/steering/snapshot.cpp
@@ -1,5 +1,7 @@
 #include "steering/snapshot.h"
 
+#include <algorithm>
+
 namespace medlarway
 {
 
@@ -16,21 +18,53 @@
     return snapshot;
 }
 
-// Versions and revisions are compared per entry, so that an older snapshot can't undo a later change. The remaining warm-up time is that of
-// the entry's revision and may be a few seconds too long, which is harmless.
 bool applySnapshot(FlowSteering &steering, const SteeringSnapshot &snapshot, Time now)
 {
-    bool changed = steering.applyConfig(snapshot.config);
+    return applyDelta(steering, {snapshot.asOf, true, snapshot.config, snapshot.upstreams, {}}, now);
+}
+
+// An upstream whose address was taken over is reported as removed: the receiver may not know the one that took it.
+SteeringDelta takeDelta(const FlowSteering &steering, const KnownData &receiver, std::uint64_t asOf, std::uint64_t trackedFrom)
+{
+    SteeringDelta delta;
+    delta.asOf = asOf;
+    delta.full = receiver.asOf < std::max(trackedFrom, steering.directory().forgottenUpTo());
+    if (steering.routes().version() > receiver.version) {
+        delta.config = steering.routes().config();
+    }
+    for (const auto &upstream : steering.directory().all()) {
+        if (upstream.entry.id.empty() || (!delta.full && upstream.entry.revision <= receiver.asOf)) {
+            continue;
+        }
+        if (upstream.presence == Presence::Listed) {
+            delta.upstreams.push_back(upstream.entry);
+        } else if (!delta.full) {
+            delta.removed.push_back({upstream.entry.id, upstream.entry.revision});
+        }
+    }
+    return delta;
+}
+
+// Versions and revisions are compared per entry, so that older data can't undo a later change. The remaining warm-up time is that of the
+// entry's revision and may be a few seconds too long, which is harmless.
+bool applyDelta(FlowSteering &steering, const SteeringDelta &delta, Time now)
+{
+    auto &directory = steering.directory();
+    bool changed = delta.config && steering.applyConfig(*delta.config);
     std::vector<std::string> ids;
-    ids.reserve(snapshot.upstreams.size());
-    for (const auto &entry : snapshot.upstreams) {
-        ids.push_back(entry.id);
-        const auto known = steering.directory().findById(entry.id);
-        if (known == kNoUpstream || steering.directory().at(known).entry.revision < entry.revision) {
-            changed = steering.directory().apply(entry, now) || changed;
+    for (const auto &entry : delta.upstreams) {
+        if (delta.full) {
+            ids.push_back(entry.id);
+        }
+        const auto known = directory.findById(entry.id);
+        if (known == kNoUpstream || directory.at(known).entry.revision < entry.revision) {
+            changed = directory.apply(entry, now) || changed;
         }
     }
-    return steering.directory().removeUnlisted(ids, snapshot.asOf, now) > 0 || changed;
+    for (const auto &removed : delta.removed) {
+        changed = directory.remove(removed.id, removed.revision, now) || changed;
+    }
+    return (delta.full && directory.removeUnlisted(ids, delta.asOf, now) > 0) || changed;
 }
 
 } // namespace medlarway
--- a/src/steering/snapshot.h
+++ b/src/steering/snapshot.h
@@ -3,6 +3,8 @@
 #include "steering/flow_steering.h"
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace medlarway
@@ -18,6 +20,25 @@
     friend bool operator==(const SteeringSnapshot &, const SteeringSnapshot &) = default;
 };
 
+/// An upstream that the platform no longer lists.
+struct RemovedUpstream {
+    std::string id;
+    std::uint64_t revision = 0; ///< platform revision of the removal
+
+    friend bool operator==(const RemovedUpstream &, const RemovedUpstream &) = default;
+};
+
+/// What changed on the platform since a revision.
+struct SteeringDelta {
+    std::uint64_t asOf = 0; ///< platform revision up to which the receiver's data is complete once it applied the delta
+    bool full = false; ///< upstreams contains all listed upstreams, and any other one was removed
+    std::optional<RouteConfig> config; ///< set if it is newer than the receiver's
+    std::vector<UpstreamEntry> upstreams; ///< added and changed upstreams
+    std::vector<RemovedUpstream> removed;
+
+    friend bool operator==(const SteeringDelta &, const SteeringDelta &) = default;
+};
+
 /// The highest valid value in an encoded message.
 constexpr RouteKind highestOf(RouteKind /*type*/)
 {
@@ -30,4 +51,19 @@
 /// Applies everything in the snapshot that is newer than this host's data; nothing is reverted. True if something changed.
 bool applySnapshot(FlowSteering &steering, const SteeringSnapshot &snapshot, Time now);
 
+/// Up to which revision and version data is known.
+struct KnownData {
+    std::uint64_t asOf = 0; ///< platform revision; 0: nothing is known
+    std::uint64_t version = 0; ///< of the configuration
+
+    friend bool operator==(const KnownData &, const KnownData &) = default;
+};
+
+/// The changes from what a receiver knows to what this host knows up to asOf. The delta is full if this host may have forgotten a removal
+/// since then: it tracks them from the revision trackedFrom on.
+SteeringDelta takeDelta(const FlowSteering &steering, const KnownData &receiver, std::uint64_t asOf, std::uint64_t trackedFrom);
+
+/// Applies everything in the delta that is newer than this host's data; nothing is reverted. True if something changed.
+bool applyDelta(FlowSteering &steering, const SteeringDelta &delta, Time now);
+
 } // namespace medlarway
--- a/tests/entry_daemon/entry_host_test.cpp
+++ b/tests/entry_daemon/entry_host_test.cpp
@@ -130,7 +130,10 @@
         CHECK(client.open(packetsOf(second), kRoute) == ClientEvent::Opened);
         CHECK(other.log().find("PeerSnapshotTaken") != std::string::npos);
 
-        // Dropped instead of reset, as a newer configuration may have the route.
+        // Dropped instead of reset once the store's last response to the other host is too old, as a newer configuration may have the
+        // route.
+        CHECK(waitUntil([&] { return client.open(packetsOf(second), kLaterRoute) == ClientEvent::Nothing; }, 8s));
+        CHECK(client.open(packetsOf(first), kLaterRoute) == ClientEvent::Nothing);
         CHECK(client.open(packetsOf(second), kLaterRoute) == ClientEvent::Nothing);
     }
     SUBCASE("reloads its settings, and keeps running if they are invalid")
--- a/tests/peering/peering_test.cpp
+++ b/tests/peering/peering_test.cpp
@@ -4,11 +4,11 @@
 #include "peering/control_socket.h"
 #include "peering/envelope.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
-#include <atomic>
 #include <condition_variable>
 #include <doctest/doctest.h>
 #include <mutex>
--- a/tests/platform/store_feed_test.cpp
+++ b/tests/platform/store_feed_test.cpp
@@ -27,8 +27,8 @@
     {
         StoreFeedOptions options;
         options.address = address;
-        options.pauseAfterChanges = 1ms;
-        options.wait = 100ms;
+        options.pace.pauseAfterChanges = 1ms;
+        options.pace.wait = 100ms;
         options.timeouts.responseTimeout = 100ms;
         options.timeouts.maxResponseTimeout = 1s;
         options.timeouts.minBackoff = 2ms;
--- a/tests/proxy/drain_test.cpp
+++ b/tests/proxy/drain_test.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-// Lets the requests of a test's upstream complete, at the latest at the end of the test, so that a failed check does not leave the upstream's
-// threads waiting.
+// Lets the requests of a test's upstream complete, at the latest at the end of the test, so that a failed check does not leave the
+// upstream's threads waiting.
 class Gate
 {
 public:
--- a/tests/proxy/test_connection.cpp
+++ b/tests/proxy/test_connection.cpp
@@ -309,8 +309,7 @@
     const timeval timeout{0, 200'000};
     setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
     const auto address = addressOf(to);
-    const bool refused
-        = ::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 && errno == ECONNREFUSED;
+    const bool refused = ::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 && errno == ECONNREFUSED;
     ::close(socket);
     return refused;
 }
