replication: hosts that failed return by a probe, one reply for each response of the store; tests of every failure

Cause: a follower went back to a dead reader each time its penalty ended, and lost up to 0.5 s each time; a request held for a third of the age limit cost three replies for each response of the store, 9.7 kB a second at the busiest of 300 simulated hosts; a host that was no longer first told its followers so in one reply of eight only, and read up to 18 s longer. Change: a host that failed is asked in the background until it can supply data; the request outlasts the reader's watch; introductions and lists of hosts are in one request of eight; a host that knows a better one always tells. Ages that others tell are clamped.

--- a/src/entry/peer_feed.cpp
+++ b/src/entry/peer_feed.cpp
@@ -31,9 +31,6 @@
 // How long a follower's urgent request shortens this host's pauses.
 constexpr Duration kUrgency = std::chrono::seconds{1};
 
-// One in this many replies to a follower has the list of hosts, which changes rarely.
-constexpr std::uint64_t kRepliesPerHostList = 8;
-
 // Largest encoded reply; its envelope has to fit into the datagram too.
 constexpr std::size_t kMaxReplyBytes = kMaxRelayBytes - kEnvelopeBytes;
 
@@ -210,11 +207,14 @@
     reply.asOf = known.asOf;
     reply.confirmedAgo = confirmedAgo(now);
     reply.platformFails = follower_.platformFails();
-    reply.zone = follower_.options().zone;
-    reply.control = follower_.options().control;
-    reply.zoneHosts = static_cast<std::uint32_t>(follower_.hosts().countIn(held.request.zone));
-    if (held.request.hold == Duration{} || held.request.number % kRepliesPerHostList == 0) {
-        reply.hosts = follower_.hosts().report(held.request.zone, now);
+    const auto zone = held.request.sender ? held.request.sender->zone : follower_.options().zone;
+    reply.zoneHosts = static_cast<std::uint32_t>(follower_.hosts().countIn(zone));
+    if (held.request.sender) {
+        reply.sender = HostIntroduction{follower_.options().zone, follower_.options().control};
+    }
+    // A host that is asked although others rank higher tells of these.
+    if (held.request.sender || follower_.source() != self_) {
+        reply.hosts = follower_.hosts().report(zone, now);
     }
     const KnownData receiver{held.request.after, held.request.version};
     reply.fetch = known.asOf != 0 && receiver.asOf == 0;
--- a/src/replication/follower.cpp
+++ b/src/replication/follower.cpp
@@ -25,6 +25,9 @@
 constexpr Duration kMinPenalty = std::chrono::seconds{1};
 constexpr std::uint32_t kMaxPenaltyDoublings = 4;
 
+// A host that failed to reply this often in a row has stopped; should it start again, it makes itself known.
+constexpr std::uint32_t kFailuresToForget = 6;
+
 // Delays of the rounds in which all seeds are asked for hosts: hosts that start together learn of each other, and a round that was lost is
 // repeated.
 constexpr std::array<Duration, 4> kDiscoveryDelays{std::chrono::milliseconds{100}, std::chrono::milliseconds{300},
@@ -49,6 +52,12 @@
 // Share of the age limit by which hosts that lost the same reader at the same moment spread their own reads.
 constexpr double kAgeJitter = 0.25;
 
+// An age that another host told, without values that no honest host sends.
+Duration boundedAge(Duration age)
+{
+    return std::clamp(age, Duration{}, Duration{std::chrono::hours{1}});
+}
+
 } // namespace
 
 std::string_view readReasonName(ReadReason reason)
@@ -91,9 +100,13 @@
 
 void Follower::onRequest(HostId from, const FeedRequest &request, Time now)
 {
-    hosts_.recordContact(from, request.control, request.zone, now);
+    if (request.sender) {
+        hosts_.recordContact(from, request.sender->control, request.sender->zone, now);
+    } else {
+        hosts_.refresh(from, now);
+    }
     if (request.follow) {
-        requestedUntil_ = now + 3 * options_.timing.requestHold + kReplyTimeout;
+        requestedUntil_ = now + options_.timing.requestHold + 2 * kReplyTimeout;
     }
 }
 
@@ -106,7 +119,11 @@
     }
     const auto request = found->second;
     requests_.erase(found);
-    hosts_.recordContact(from, reply.control, reply.zone, now);
+    if (reply.sender) {
+        hosts_.recordContact(from, reply.sender->control, reply.sender->zone, now);
+    } else {
+        hosts_.refresh(from, now);
+    }
     for (const auto &host : reply.hosts) {
         hosts_.recordReported(host, now);
     }
@@ -117,12 +134,12 @@
         nextRequestAt_ = std::max(now, request.sentAt + kMinRequestInterval);
     }
 
-    // Step 2. A source that can't read the platform, or has not for too long, is no use.
-    const bool tooOld = !reply.confirmedAgo || *reply.confirmedAgo > options_.timing.maxAge;
-    if (fromSource && (reply.platformFails || tooOld)) {
-        penalize(from, Failure::StaleData, now);
-    } else if (fromSource) {
+    // Step 2. A source that can't read the platform, or has not for too long, is no use. One that failed before and can is one again.
+    const bool stale = reply.platformFails || !reply.confirmedAgo || *reply.confirmedAgo > options_.timing.maxAge;
+    if (!stale) {
         penalties_.erase(from);
+    } else if (fromSource || penalties_.contains(from)) {
+        penalize(from, Failure::StaleData, now);
     }
 
     // Step 3. Take its data. When the platform confirmed it follows from durations only, as clocks of hosts can't be compared: the reply
@@ -134,8 +151,9 @@
         return std::exchange(fetching_, true) ? ReplyUse::Ignore : ReplyUse::Fetch;
     }
     if (reply.confirmedAgo) {
-        const auto underway = std::max(Duration{}, now - request.sentAt - reply.held);
-        confirm(now - underway - std::max(Duration{}, *reply.confirmedAgo));
+        const auto roundTrip = now - request.sentAt;
+        const auto underway = roundTrip - std::clamp(reply.held, Duration{}, roundTrip);
+        confirm(now - underway - boundedAge(*reply.confirmedAgo));
     }
     return ReplyUse::Apply;
 }
@@ -146,7 +164,7 @@
     if (!succeeded) {
         penalize(from, Failure::NoReply, startedAt);
     } else if (confirmedAgo) {
-        confirm(startedAt - std::max(Duration{}, *confirmedAgo));
+        confirm(startedAt - boundedAge(*confirmedAgo));
     }
 }
 
@@ -198,6 +216,7 @@
     if (now >= nextDiscoveryAt_) {
         discover(now, outbox);
     }
+    probePenalized(now, outbox);
     // Step 3. Ask the source for changes.
     if (source_ != options_.self && known_.asOf != 0 && now >= nextRequestAt_ && !fetching_ && !requests_.contains(source_)) {
         send(source_, probing_ ? Duration{} : options_.timing.requestHold, true, now, outbox);
@@ -233,6 +252,16 @@
     nextDiscoveryAt_ = now + std::chrono::duration_cast<Duration>(delay * (0.75 + 0.5 * random_.unit()));
 }
 
+// A host that failed becomes a source again only after it has shown that it can supply data, so that trying it delays nothing.
+void Follower::probePenalized(Time now, Outbox<FeedRequest> &outbox)
+{
+    for (auto &[host, penalty] : penalties_) {
+        if (now >= penalty.until && host != options_.self && host != source_ && !requests_.contains(host)) {
+            send(host, Duration{}, false, now, outbox);
+        }
+    }
+}
+
 void Follower::expireRequests(Time now)
 {
     for (auto entry = requests_.begin(); entry != requests_.end();) {
@@ -242,11 +271,9 @@
             continue;
         }
         entry = requests_.erase(entry);
-        if (!request.follow || host != source_) {
-            continue;
-        }
         // A single datagram may be lost; a source that misses two requests has stopped, or its process is paused.
-        if (std::exchange(probing_, true)) {
+        const bool sourceFailed = request.follow && host == source_ && std::exchange(probing_, true);
+        if (sourceFailed || penalties_.contains(host)) {
             penalize(host, Failure::NoReply, now);
         }
     }
@@ -282,7 +309,10 @@
 
 void Follower::send(HostId to, Duration hold, bool follow, Time now, Outbox<FeedRequest> &outbox)
 {
-    const FeedRequest request{random_(), known_.asOf, known_.version, hold, follow, urgent_, options_.zone, options_.control};
+    FeedRequest request{static_cast<std::uint32_t>(random_()), known_.asOf, known_.version, hold, follow, urgent_, std::nullopt};
+    if (introduces(request.number, hold)) {
+        request.sender = HostIntroduction{options_.zone, options_.control};
+    }
     requests_[to] = Request{request.number, now, now + hold + kReplyTimeout, follow};
     outbox.push_back({to, request});
 }
@@ -294,12 +324,17 @@
     penalty.until = now + kMinPenalty * (1U << std::min(penalty.failures, kMaxPenaltyDoublings));
     ++penalty.failures;
     requests_.erase(host);
+    if (penalty.failures >= kFailuresToForget && failure == Failure::NoReply) {
+        hosts_.forget(host);
+        penalties_.erase(host);
+    }
 }
 
 const Follower::Penalty *Follower::penaltyOf(HostId host, Time now) const
 {
     const auto found = penalties_.find(host);
-    return found != penalties_.end() && now < found->second.until ? &found->second : nullptr;
+    const bool over = found == penalties_.end() || (host == options_.self && now >= found->second.until);
+    return over ? nullptr : &found->second;
 }
 
 Time Follower::firstDue(Time now) const
--- a/src/replication/follower.h
+++ b/src/replication/follower.h
@@ -124,7 +124,7 @@
 
 private:
     struct Request {
-        std::uint64_t number = 0;
+        std::uint32_t number = 0;
         Time sentAt;
         Time expiresAt;
         bool follow = false;
@@ -144,6 +144,7 @@
     };
 
     void discover(Time now, Outbox<FeedRequest> &outbox);
+    void probePenalized(Time now, Outbox<FeedRequest> &outbox);
     void expireRequests(Time now);
     HostId chooseSource(Time now) const;
     void send(HostId to, Duration hold, bool follow, Time now, Outbox<FeedRequest> &outbox);
--- a/src/replication/host_registry.cpp
+++ b/src/replication/host_registry.cpp
@@ -23,6 +23,13 @@
     hosts_[host] = Entry{control, zone, now};
 }
 
+void HostRegistry::refresh(HostId host, Time now)
+{
+    if (const auto known = hosts_.find(host); known != hosts_.end()) {
+        known->second.heardAt = now;
+    }
+}
+
 // Ages add up on the way, so hosts do not keep a stopped one alive by reporting it to each other.
 void HostRegistry::recordReported(const HostRecord &host, Time now)
 {
--- a/src/replication/host_registry.h
+++ b/src/replication/host_registry.h
@@ -23,6 +23,9 @@
     /// Records a message from a host.
     void recordContact(HostId host, const Endpoint &control, const AvailabilityZone &zone, Time now);
 
+    /// Records a message from a host that is known already.
+    void refresh(HostId host, Time now);
+
     /// Records a host of this host's zone that another one reported.
     void recordReported(const HostRecord &host, Time now);
 
--- a/tests/entry_daemon/entry_host_test.cpp
+++ b/tests/entry_daemon/entry_host_test.cpp
@@ -167,6 +167,71 @@
     }
 }
 
+TEST_CASE("a host that follows another one of its zone")
+{
+    const auto first = loopbackAddress(111);
+    const auto second = loopbackAddress(112);
+    Platform platform;
+    platform.change([&](StandinStore &store) {
+        store.put("op/config", standinConfig(3, kRoute, "one"));
+        store.put("servers/i-a1", standinUpstreamEntry("one", {*parseAddress(loopbackAddress(113)), kPacketPort}, "z"));
+    });
+    auto one = std::make_unique<DaemonProcess>(settingsOf(first, platform.address(), second), "");
+    REQUIRE(waitUntil([&] { return isReady(first); }));
+    auto other = std::make_unique<DaemonProcess>(settingsOf(second, platform.address(), first), "");
+    REQUIRE(waitUntil([&] { return isReady(second); }));
+    const auto stateOf = [](const std::string &address) { return httpRequest(fmt::format("{}:{}", address, kControlPort), "/state").body; };
+    const auto follows = [&](const std::string &address) { return stateOf(address).find("\"reads\":\"none\"") != std::string::npos; };
+    REQUIRE(waitUntil([&] { return follows(first) || follows(second); }));
+    const bool firstReads = follows(second);
+    auto &reader = firstReads ? one : other;
+    const auto follower = firstReads ? second : first;
+    const auto hasVersion
+        = [&](int version) { return stateOf(follower).find(fmt::format("\"configVersion\":{}", version)) != std::string::npos; };
+    const auto putConfig = [&](int version) {
+        platform.change([&](StandinStore &store) { store.put("op/config", standinConfig(version, kRoute, "one")); });
+    };
+
+    SUBCASE("applies a change without a call to the store")
+    {
+        const auto callsOf = [&] { return httpRequest(fmt::format("{}:{}", follower, kControlPort), "/counters").body; };
+        const auto line = [](const std::string &text) {
+            const auto at = text.find("\nmedlarway_platform_reads_total");
+            return text.substr(at, text.find('\n', at + 1) - at);
+        };
+        const auto before = line(callsOf());
+        putConfig(5);
+        CHECK(waitUntil([&] { return hasVersion(5); }, 3s));
+        CHECK(line(callsOf()) == before);
+    }
+    SUBCASE("applies a change that exceeds a datagram")
+    {
+        platform.change([&](StandinStore &store) {
+            for (int number = 0; number < 200; ++number) {
+                store.put(fmt::format("servers/i-{:x}", 0x100 + number),
+                          standinUpstreamEntry("one", {*parseAddress("127.9.0.1"), static_cast<std::uint16_t>(1000 + number)}, "z"));
+            }
+        });
+        CHECK(waitUntil([&] { return stateOf(follower).find("i-1c7") != std::string::npos; }, 3s));
+        CHECK(follows(follower));
+    }
+    SUBCASE("applies a change within the bound though its reader is killed in that moment")
+    {
+        reader->signal(SIGKILL);
+        putConfig(5);
+        CHECK(waitUntil([&] { return hasVersion(5); }, 3s));
+    }
+    SUBCASE("applies a change within the bound though its reader is paused, and so does the reader when it resumes")
+    {
+        const auto paused = firstReads ? first : second;
+        reader->signal(SIGSTOP);
+        putConfig(5);
+        CHECK(waitUntil([&] { return hasVersion(5); }, 3s));
+        reader->signal(SIGCONT);
+        CHECK(waitUntil([&] { return stateOf(paused).find("\"configVersion\":5") != std::string::npos; }, 3s));
+    }
+}
+
 TEST_CASE("an upstream that terminates without notice")
 {
     const auto address = loopbackAddress(105);
--- /dev/null
+++ b/tests/replication/replication_fleet.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "replication/follower.h"
+#include "replication/held_requests.h"
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace medlarway
+{
+
+/// How the platform treats one host.
+enum class PlatformAccess : std::uint8_t {
+    Serves,
+    Refuses, ///< responds at once that it does not serve the host
+    Silent, ///< does not respond
+};
+
+/// Options of a simulated fleet.
+struct FleetOptions {
+    int hosts = 30;
+    int zones = 3;
+    ReplicationBounds bounds;
+    double loss = 0; ///< share of the messages between hosts that are lost
+    std::uint64_t seed = 1;
+};
+
+/// Hosts that read a simulated platform and follow each other, with simulated time and network. Host n is in zone n % zones; the first
+/// three hosts are the seeds of all.
+class ReplicationFleet
+{
+public:
+    explicit ReplicationFleet(const FleetOptions &options);
+
+    void run(Duration time);
+
+    /// Changes the platform's data.
+    void change()
+    {
+        ++revision_;
+    }
+
+    /// Starts a host without data, or ends it.
+    void start(int number);
+    void kill(int number);
+
+    /// Stops the process from running, and lets it run again.
+    void pause(int number);
+    void resume(int number);
+
+    void setPlatform(int number, PlatformAccess access)
+    {
+        at(number).access = access;
+    }
+
+    /// Cuts the host off from the other hosts, or ends that.
+    void setCutFromHosts(int number, bool cut)
+    {
+        at(number).cut = cut;
+    }
+
+    /// Cuts the zone off from the other zones and from the platform; -1 ends that.
+    void setCutZone(int zone);
+
+    /// Lets the host ignore requests, like one of a release that does not know them.
+    void setSilent(int number)
+    {
+        at(number).silent = true;
+    }
+
+    /// The host that most hosts of the zone follow.
+    int readerOf(int zone) const;
+
+    /// Number of hosts that read the platform now.
+    int readers() const;
+
+    /// Calls to the platform since the last call of this function.
+    int takeCalls();
+
+    /// Bytes sent and received by the busiest host since the last call of this function.
+    std::size_t takeBusiestBytes();
+
+    /// Whether a running host has all changes.
+    bool isCurrent(int number) const
+    {
+        return at(number).known.asOf == revision_;
+    }
+
+    /// Whether all running hosts, except one, have all changes.
+    bool areCurrent(int except = -1) const;
+
+    /// Runs until areCurrent(), and returns the time that took; limit if it takes longer.
+    Duration timeUntilCurrent(Duration limit, int except = -1);
+
+    /// Time since the platform confirmed the host's data, as the host believes; nullopt if it believes that it never did.
+    std::optional<Duration> believedAge(int number) const;
+
+    /// The longest time by which a host, since the last call of this function, believed its data to be younger than it was.
+    Duration takeWorstBelief();
+
+    int size() const
+    {
+        return static_cast<int>(hosts_.size());
+    }
+
+private:
+    using Body = std::variant<FeedRequest, FeedReply>;
+
+    struct Call {
+        Time startedAt;
+        Time dueAt;
+    };
+
+    struct Message {
+        Time at;
+        HostId from;
+        HostId to;
+        Body body;
+    };
+
+    struct Host {
+        std::optional<Follower> follower;
+        HeldRequests held;
+        KnownData known;
+        PlatformAccess access = PlatformAccess::Serves;
+        bool cut = false;
+        bool silent = false;
+        bool paused = false;
+        bool confirmNext = true; ///< the next call does not wait for a change
+        std::uint32_t failures = 0;
+        std::optional<Call> call;
+        Time nextCallAt;
+        std::vector<Message> inbox;
+        std::size_t bytes = 0;
+        int incarnation = 0;
+    };
+
+    Host &at(int number)
+    {
+        return hosts_[static_cast<std::size_t>(number)];
+    }
+
+    const Host &at(int number) const
+    {
+        return hosts_[static_cast<std::size_t>(number)];
+    }
+
+    void step();
+    bool crossesCut(const Message &message) const;
+    void stepHost(int number);
+    void receive(Host &host, const Message &message);
+    FeedReply replyTo(const Host &host, const HeldRequest &held) const;
+    void readPlatform(Host &host);
+    void finishCall(Host &host);
+    void send(int from, HostId to, Body body);
+    SourceState stateOf(const Host &host) const;
+
+    FleetOptions options_;
+    ReplicationTiming timing_;
+    Random random_;
+    Time now_;
+    std::uint64_t revision_ = 1;
+    std::vector<Host> hosts_;
+    std::vector<Message> underway_;
+    std::vector<Time> changedAt_; ///< by revision
+    int cutZone_ = -1;
+    int calls_ = 0;
+    Duration worstBelief_{};
+};
+
+} // namespace medlarway
