replication: a host does not wait for data that no other host has; pages for starting hosts have a budget

Change: a reply without data ends the wait; full pages are served within 500 kB a second and a burst of 1 MB, beyond it the host reads the store.

--- a/src/entry/peer_feed.cpp
+++ b/src/entry/peer_feed.cpp
@@ -7,6 +7,7 @@
 #include "peering/codec.h"
 #include "yaml/scalars.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
@@ -20,6 +21,7 @@
 
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusNoContent = 204;
+constexpr unsigned kStatusUnavailable = 503;
 
 // Time limits of a fetch: hosts are a few milliseconds apart, but a page may take a while on a link of 2 Mbit/s.
 constexpr std::chrono::milliseconds kConnectTimeout{300};
@@ -28,6 +30,14 @@
 // The changes of a fleet with 9,100 upstreams and 2,500 routes take 1.5 MB.
 constexpr std::size_t kMaxPageBytes = 4U << 20U;
 
+// Budget of the pages for other hosts. When all hosts of a large zone start at once, the seeds would spend their links on them; most read the
+// platform then.
+constexpr std::uint64_t kPageBytesPerSecond = 500'000;
+constexpr std::uint64_t kPageBurstBytes = 1'000'000;
+
+// A page beyond this is charged as if it had this size; else it could never be served.
+constexpr std::size_t kMaxChargedBytes = 700'000;
+
 // How long a follower's urgent request shortens this host's pauses.
 constexpr Duration kUrgency = std::chrono::seconds{1};
 
@@ -50,6 +60,7 @@
     , follower_(options.follower, monotonicNow())
     , socket_(context, options.listen, [this](std::string_view sealed) { receive(sealed); })
     , timer_(context)
+    , pageBudget_(kPageBytesPerSecond, kPageBurstBytes)
     , source_(self_)
 {
 }
@@ -294,6 +305,10 @@
     if (page_.delta.empty() || page_.receiver != receiver || page_.known != known) {
         page_ = CachedPage{receiver, known, encodeMessage(callbacks_.makeDelta(receiver))};
     }
+    const auto priority = receiver.asOf == 0 ? MessagePriority::Normal : MessagePriority::High;
+    if (!pageBudget_.take(std::min<std::size_t>(page_.delta.size(), kMaxChargedBytes), priority, monotonicNow())) {
+        return PageResponse{kStatusUnavailable, "application/cbor", ""};
+    }
     count(Counter::DeltasServed);
     const auto body = encodeMessage(FeedPage{confirmedAgo(monotonicNow()), page_.delta});
     return PageResponse{kStatusOk, "application/cbor", envelope_.seal(hostIdOf(*from), static_cast<std::uint8_t>(MessageKind::Page), body)};
--- a/src/entry/peer_feed.h
+++ b/src/entry/peer_feed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pages/page_server.h"
+#include "peering/byte_budget.h"
 #include "peering/envelope.h"
 #include "peering/relay_socket.h"
 #include "replication/follower.h"
@@ -110,6 +111,7 @@
     HeldRequests held_;
     RelaySocket socket_;
     boost::asio::steady_timer timer_;
+    ByteBudget pageBudget_;
     Outbox<FeedRequest> outbox_;
     ReadReason readReason_ = ReadReason::None;
     HostId source_;
--- a/src/replication/follower.cpp
+++ b/src/replication/follower.cpp
@@ -142,6 +142,8 @@
         penalize(from, Failure::StaleData, now);
     }
 
+    othersLackData_ = othersLackData_ || reply.asOf == 0;
+
     // Step 3. Take its data. When the platform confirmed it follows from durations only, as clocks of hosts can't be compared: the reply
     // was on its way for at most the part of the round trip in which it was not held.
     if (reply.asOf < known_.asOf || reply.asOf == 0) {
@@ -358,8 +360,9 @@
 ReadReason Follower::readReason(Time now) const
 {
     if (known_.asOf == 0) {
-        const bool alone = options_.seeds.empty() || isSeed();
-        return alone || now - startedAt_ >= (fetching_ ? kStartFetchWait : kStartWait) ? ReadReason::Starting : ReadReason::None;
+        const bool useless = options_.seeds.empty() || isSeed() || othersLackData_;
+        const auto wait = fetching_ ? kStartFetchWait : (useless ? Duration{} : kStartWait);
+        return now - startedAt_ >= wait ? ReadReason::Starting : ReadReason::None;
     }
     if (source_ == options_.self) {
         return ReadReason::Chosen;
--- a/src/replication/follower.h
+++ b/src/replication/follower.h
@@ -165,6 +165,7 @@
     std::size_t zoneHosts_ = 1; ///< hosts in this zone, as reported by the source
     bool platformFails_ = false;
     bool fetching_ = false;
+    bool othersLackData_ = false; ///< another host replied that it has none, so all are starting
     bool probing_ = false; ///< the source missed a request; the next one asks for a reply at once
     Time startedAt_;
     Time confirmedAt_;
@@ -179,7 +180,8 @@
 /// How many hosts follow one reader at most: a larger zone has more readers.
 inline constexpr std::size_t kFollowersPerReader = 32;
 
-/// How long a starting host waits for data of other hosts before it reads the platform; longer while it is receiving them.
+/// How long a starting host waits for data of other hosts before it reads the platform; longer while it is receiving them, and not at all
+/// if another host replied that it has none.
 inline constexpr Duration kStartWait = std::chrono::milliseconds{100};
 inline constexpr Duration kStartFetchWait = std::chrono::milliseconds{400};
 
