--- a/tests/proxy/drain_test.cpp
+++ b/tests/proxy/drain_test.cpp
@@ -104,6 +104,7 @@
         std::atomic<int> answered{0};
         std::atomic<int> lost{0};
         std::vector<std::thread> callers;
+        callers.reserve(kCallers);
         for (int caller = 0; caller < kCallers; ++caller) {
             callers.emplace_back([&] {
                 for (;;) {
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -1,4 +1,5 @@
 #include "base/errors.h"
+#include "settings/entry_settings.h"
 #include "settings/settings_builder.h"
 #include "settings/settings_file.h"
 
@@ -112,3 +113,32 @@
         CHECK(changesThatNeedRestart(running, wanted) == std::vector<std::string>{"data-threads", "peers"});
     }
 }
+
+TEST_CASE("the settings of an entry host")
+{
+    const std::string base = "entry:\n  name: e\n  zone: z\n  packets: 10.0.0.1:1\n  ready: 10.0.0.1:2\n  control: 10.0.0.1:3\n"
+                             "  store: 10.0.0.2:4\n  peers: 10.0.0.1:5\n";
+
+    SUBCASE("take the bounds with fractions, and the defaults without a value")
+    {
+        const auto parsed = parseEntrySettings(base + "  drain-bound-ms: \"6000\"\n  config-bound-ms: 2500.5\n");
+        REQUIRE(parsed.value);
+        CHECK(parsed.value->drainBound == std::chrono::seconds{6});
+        CHECK(parsed.value->configBound == std::chrono::microseconds{2'500'500});
+        CHECK(parseEntrySettings(base + "  drain-bound-ms: \"\"\n").value->drainBound == std::chrono::seconds{3});
+    }
+    SUBCASE("report every bound that is out of range or no number")
+    {
+        const auto parsed = parseEntrySettings(base + "  drain-bound-ms: 10\n  config-bound-ms: soon\n");
+        CHECK_FALSE(parsed.value);
+        CHECK(parsed.faults.size() == 2);
+    }
+    SUBCASE("need a restart for a changed bound or key")
+    {
+        auto running = *parseEntrySettings(base).value;
+        auto wanted = running;
+        wanted.drainBound = std::chrono::seconds{9};
+        wanted.keyFile = "key";
+        CHECK(changesThatNeedRestart(running, wanted) == std::vector<std::string>{"drain-bound-ms", "key-file"});
+    }
+}
