replication: a starting host waits 30 ms for data, and keeps reading once it has begun

Change: 30 ms, several round trips between hosts; fetching no longer ends a read that has begun. At the worst a host reads pages that another could have sent, 1.3 calls.

--- a/src/replication/follower.cpp
+++ b/src/replication/follower.cpp
@@ -374,7 +374,7 @@
 {
     if (known_.asOf == 0) {
         const bool useless = options_.seeds.empty() || isSeed() || othersLackData_;
-        const auto wait = fetching_ ? kStartFetchWait : (useless ? Duration{} : kStartWait);
+        const auto wait = useless ? Duration{} : (fetching_ ? kStartFetchWait : kStartWait);
         return now - startedAt_ >= wait ? ReadReason::Starting : ReadReason::None;
     }
     if (source_ == options_.self) {
--- a/src/replication/follower.h
+++ b/src/replication/follower.h
@@ -185,7 +185,7 @@
 
 /// How long a starting host waits for data of other hosts before it reads the platform; longer while it is receiving them, and not at all
 /// if another host replied that it has none.
-inline constexpr Duration kStartWait = std::chrono::milliseconds{100};
+inline constexpr Duration kStartWait = std::chrono::milliseconds{30};
 inline constexpr Duration kStartFetchWait = std::chrono::milliseconds{400};
 
 } // namespace medlarway
