replication: a page fetched across a pause confirms nothing

Cause: found on reading the diff. The age of a fetched page counts from the start of the fetch on the steady clock, which does not count a suspension of the machine; onPause() dropped the open requests but not an open fetch, so old data passed for fresh until the next confirmation. Change: only a fetch that began after the last pause confirms data. The data itself is applied as before, revision by revision. Test: a fetch that began before a pause and one after it; the first fails without the change (by reading; the old code was not run on it).

--- a/src/replication/follower.cpp
+++ b/src/replication/follower.cpp
@@ -171,12 +171,13 @@
     }
 }
 
+// The clock may not have counted a pause during the fetch, so the age of its data would be told too low.
 void Follower::onFetched(HostId from, bool succeeded, std::optional<Duration> confirmedAgo, Time startedAt)
 {
     fetching_ = false;
     if (!succeeded) {
         penalize(from, Failure::NoReply, startedAt);
-    } else if (confirmedAgo) {
+    } else if (confirmedAgo && startedAt >= resumedAt_) {
         confirm(startedAt - boundedAge(*confirmedAgo));
     }
 }
@@ -206,6 +207,7 @@
 void Follower::onPause(Time now)
 {
     requests_.clear();
+    resumedAt_ = now;
     confirmedAt_ = Time{};
     readSelfAt_ = now + kResumeWait;
     nextRequestAt_ = now;
--- a/src/replication/follower.h
+++ b/src/replication/follower.h
@@ -171,6 +171,7 @@
     bool othersLackData_ = false; ///< another host replied that it has none, so all are starting
     bool probing_ = false; ///< the source missed a request; the next one asks for a reply at once
     Time startedAt_;
+    Time resumedAt_; ///< end of the last pause of this host
     Time confirmedAt_;
     Time readSelfAt_; ///< when the data becomes too old unless it is confirmed
     Time requestedUntil_; ///< until when other hosts count as following this one
--- a/tests/replication/follower_test.cpp
+++ b/tests/replication/follower_test.cpp
@@ -276,6 +276,25 @@
     }
 }
 
+TEST_CASE("a host that was paused while it fetched changes")
+{
+    const Time start = Time{} + 1h;
+    Follower follower({HostId{1}, {}, {"z"}, {HostId{2}}, timingFor({}), 1}, start);
+
+    SUBCASE("does not take them as confirmed")
+    {
+        follower.onPause(start + 10ms);
+        follower.onFetched(HostId{2}, true, Duration{}, start);
+        CHECK(follower.confirmedAt() == Time{});
+    }
+    SUBCASE("takes those of a later fetch as confirmed")
+    {
+        follower.onPause(start + 10ms);
+        follower.onFetched(HostId{2}, true, Duration{}, start + 20ms);
+        CHECK(follower.confirmedAt() == start + 20ms);
+    }
+}
+
 TEST_CASE("the intervals of readers and followers")
 {
     SUBCASE("follow from the stricter bound")
