logs: how long a call to the store waited, after which revision, and how long the store was silent

Change: event 300 of an entry host names the revision and the time that the call waited, event 302 the time since the last response. The conversion to milliseconds stood in four files and is one function.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace medlarway
 {
@@ -23,4 +24,10 @@
     return std::chrono::duration_cast<std::chrono::steady_clock::duration>(span);
 }
 
+/// A span in whole milliseconds, for logs and requests.
+inline std::int64_t inMilliseconds(Duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 } // namespace medlarway
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -149,7 +149,7 @@
     if (!pause) {
         return;
     }
-    logEvent(Event::WokeLate, {field("milliseconds", std::chrono::duration_cast<std::chrono::milliseconds>(*pause).count())});
+    logEvent(Event::WokeLate, {field("milliseconds", inMilliseconds(*pause))});
     stalePackets_ = true;
     peerFeed_.onPause();
     feed_.reconnect();
--- a/src/entry/flow_log.cpp
+++ b/src/entry/flow_log.cpp
@@ -22,7 +22,7 @@
 // Age of the last store response in milliseconds; -1 if there was none yet.
 std::int64_t ageMs(Time receivedAt, Time now)
 {
-    return receivedAt == Time{} ? -1 : std::chrono::duration_cast<std::chrono::milliseconds>(now - receivedAt).count();
+    return receivedAt == Time{} ? -1 : inMilliseconds(now - receivedAt);
 }
 
 } // namespace
--- a/src/entry/peer_feed.cpp
+++ b/src/entry/peer_feed.cpp
@@ -103,16 +103,14 @@
     answerHeld();
     if (follower_.source() != source_) {
         source_ = follower_.source();
-        logEvent(Event::SourceChosen,
-                 {field("source", source_ == self_ ? "platform" : endpointToString(endpointOf(source_))),
-                  field("zone-hosts", follower_.knownZoneHosts()), field("revision", callbacks_.known().asOf),
-                  field("age-ms", std::chrono::duration_cast<std::chrono::milliseconds>(confirmedAgo(now).value_or(Duration{})).count())});
+        logEvent(Event::SourceChosen, {field("source", source_ == self_ ? "platform" : endpointToString(endpointOf(source_))),
+                                       field("zone-hosts", follower_.knownZoneHosts()), field("revision", callbacks_.known().asOf),
+                                       field("age-ms", inMilliseconds(confirmedAgo(now).value_or(Duration{})))});
     }
     if (const auto reason = follower_.readReason(now); reason != readReason_) {
-        logEvent(Event::ReadingChanged,
-                 {field("reason", readReasonName(reason)), field("before", readReasonName(readReason_)),
-                  field("revision", callbacks_.known().asOf), field("followers", held_.size()),
-                  field("age-ms", std::chrono::duration_cast<std::chrono::milliseconds>(confirmedAgo(now).value_or(Duration{})).count())});
+        logEvent(Event::ReadingChanged, {field("reason", readReasonName(reason)), field("before", readReasonName(readReason_)),
+                                         field("revision", callbacks_.known().asOf), field("followers", held_.size()),
+                                         field("age-ms", inMilliseconds(confirmedAgo(now).value_or(Duration{})))});
         readReason_ = reason;
         callbacks_.readReasonChanged(reason);
     }
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -18,11 +18,6 @@
 
 constexpr std::uint32_t kMaxDoublings = 8;
 
-std::int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace
 
 // The timeout grows so that a store whose responses take longer than the initial timeout can still be read.
@@ -57,7 +52,7 @@
 boost::asio::awaitable<StoreResult> StoreClient::watch(const std::string &prefix, std::uint64_t afterRevision, Duration wait,
                                                        Duration timeout)
 {
-    auto target = fmt::format("/v1/kv-watch?prefix={}&after={}&wait-ms={}", encodeQueryValue(prefix), afterRevision, milliseconds(wait));
+    auto target = fmt::format("/v1/kv-watch?prefix={}&after={}&wait-ms={}", encodeQueryValue(prefix), afterRevision, inMilliseconds(wait));
     return call(std::move(target), wait + timeout, timeout, decodeStoreResponse);
 }
 
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -114,6 +114,7 @@
 
 asio::awaitable<bool> StoreFeed::runNextStep()
 {
+    callStartedAt_ = monotonicNow();
     if (asOf_ != 0) {
         co_return co_await watch();
     }
@@ -228,12 +229,15 @@
 
 void StoreFeed::recordSuccess(std::uint64_t asOf, bool changed)
 {
-    asOf_ = asOf;
-    changed_ = changed;
-    lastResponseAt_ = monotonicNow();
+    const auto now = monotonicNow();
     if (failures_ > 0) {
-        logEvent(Event::PlatformRecovered, {field("failures", failures_), field("revision", asOf)});
+        const auto silence = lastResponseAt_ == Time{} ? Duration{} : now - lastResponseAt_;
+        logEvent(Event::PlatformRecovered,
+                 {field("failures", failures_), field("revision", asOf), field("silent-ms", inMilliseconds(silence))});
     }
+    asOf_ = asOf;
+    changed_ = changed;
+    lastResponseAt_ = now;
     failures_ = 0;
     if (sink_.confirmed) {
         sink_.confirmed();
@@ -246,8 +250,9 @@
         return false; // the call failed because reconnect() closed the connection
     }
     ++failures_;
-    reportError(ErrorKind::PlatformUnreachable,
-                fmt::format("{}: {}", call, status == 0 ? "no response" : fmt::format("status {}", status)));
+    reportError(ErrorKind::PlatformUnreachable, fmt::format("{} after revision {}: {} after {} ms", call, asOf_,
+                                                            status == 0 ? "no response" : fmt::format("status {}", status),
+                                                            inMilliseconds(monotonicNow() - callStartedAt_)));
     if (sink_.failed) {
         sink_.failed();
     }
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -120,6 +120,7 @@
     std::uint64_t asOf_ = 0; ///< see asOf(); 0: a full read is needed
     std::uint32_t failures_ = 0; ///< consecutive failures
     bool changed_ = false; ///< the last response contained changes
+    Time callStartedAt_;
     Time lastResponseAt_;
     bool running_ = false;
     bool reading_ = true; ///< see setReading()
