entry: a host calls the store again within the bound after a call was lost

Cause: the timing of calls to the store did not follow from the bounds that its data must meet. After failures a call's timeout grew to 3 s, and the store was still asked to hold the call for 2.8 s on a host that is alone in its zone, so a call that was lost as the store came back was given up after up to 5.8 s, and the next one followed after up to 1 s more. Class: a retry interval that is longer than the deadline of what it supplies. Hosts were saved by peers that had better luck; a host without a peer in reach (its zone cut off from the others) was not. Change: first timeout, longest timeout, longest backoff and the watch of a host alone in its zone follow from the bound; after a failure the store is asked for an immediate response, as a held call can't be told from a lost one. Pace and timeouts of an entry host have a file of their own.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -4,6 +4,7 @@
 #include "base/version.h"
 #include "entry/entry_pages.h"
 #include "entry/flow_log.h"
+#include "entry/store_pace.h"
 #include "peering/boot_number.h"
 #include "peering/codec.h"
 #include "peering/key_file.h"
@@ -84,6 +85,7 @@
     StoreFeedOptions options;
     options.address = settings.store;
     options.seed = combineHash(settings.packets.address, settings.store.address);
+    options.timeouts = storeTimeouts(timingFor({settings.drainBound, settings.configBound}));
     return options;
 }
 
@@ -327,13 +329,9 @@
     return urgency;
 }
 
-// A host that others may follow has to confirm their data in time. One that is alone in its zone may leave its watch for longer.
 void EntryHost::updatePace()
 {
-    WatchPace pace;
-    pace.pauseAfterChanges = urgent_ ? timing_.urgentPause : timing_.pause;
-    pace.wait = peerFeed_.follower().knownZoneHosts() > 1 ? timing_.watchWait : WatchPace{}.wait;
-    feed_.setPace(pace);
+    feed_.setPace(storePace(timing_, urgent_, peerFeed_.follower().knownZoneHosts() <= 1));
 }
 
 void EntryHost::applyConfig(const RouteConfig &config)
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -182,9 +182,12 @@
     asOf_ = std::max(asOf_, asOf);
 }
 
+// After a failure the store is asked for an immediate response: while it may hold the call, a lost call can't be told from one without
+// news.
 asio::awaitable<bool> StoreFeed::watch()
 {
-    const auto wait = std::exchange(confirmNext_, false) ? kMinWait : options_.pace.wait;
+    const bool atOnce = std::exchange(confirmNext_, false) || failures_ > 0;
+    const auto wait = atOnce ? kMinWait : options_.pace.wait;
     const auto result = co_await client_.watch("", asOf_, wait, responseTimeoutAfter(failures_, options_.timeouts));
     if (result.status == kStatusHistoryExpired) {
         asOf_ = 0;
--- a/src/replication/timing.h
+++ b/src/replication/timing.h
@@ -19,6 +19,10 @@
 struct ReplicationTiming {
     Duration maxAge; ///< a host whose data was confirmed longer ago than this reads the platform itself
     Duration watchWait; ///< how long the platform may hold a watch of a host that others follow
+    Duration soloWatchWait; ///< the same for a host that is alone in its zone
+    Duration responseTimeout; ///< how long a response of the platform may take; a watch is allowed its wait in addition
+    Duration maxResponseTimeout; ///< the same after calls that failed, as the platform may be slow
+    Duration maxBackoff; ///< longest delay after a call that failed
     Duration requestHold; ///< how long a reader may hold a follower's request
     Duration pause; ///< from a response with changes to the next watch, so that a burst of changes takes few calls
     Duration urgentPause; ///< the same while a change is needed by callers
--- a/tests/replication/follower_test.cpp
+++ b/tests/replication/follower_test.cpp
@@ -312,6 +312,15 @@
             CHECK(timing.urgentPause < timing.pause);
         }
     }
+    SUBCASE("let a call follow a lost one within the bound")
+    {
+        for (const Duration bound : {Duration{1s}, Duration{3s}, Duration{6s}, Duration{18s}, Duration{600s}}) {
+            const auto timing = timingFor({bound, bound});
+            CHECK(timing.soloWatchWait + timing.responseTimeout + timing.maxBackoff < bound);
+            CHECK(timing.watchWait + timing.responseTimeout + timing.maxBackoff < bound);
+            CHECK(timing.maxResponseTimeout + timing.maxBackoff < bound);
+        }
+    }
     SUBCASE("shorten the pause while callers wait for a change")
     {
         const auto timing = timingFor({3s, 3s});
