logs: the era of the store's data

Cause: a store that comes back from an older copy says so by a header that nothing read. The logs showed revisions that went back, or did not, and a host that skipped changes looked like one that had none. Change: the client reads the header, and the first response of a new era is event 306 with both eras, the revision up to which the host had read, and the status and revision of the response.

--- a/src/pages/http_client.cpp
+++ b/src/pages/http_client.cpp
@@ -65,7 +65,8 @@
     if (error) {
         co_return std::nullopt;
     }
-    co_return HttpResponse{parser.get().result_int(), std::move(parser.get().body())};
+    auto response = parser.release();
+    co_return HttpResponse{response.result_int(), std::move(response.base()), std::move(response.body())};
 }
 
 void HttpClient::close()
--- a/src/pages/http_client.h
+++ b/src/pages/http_client.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <optional>
 #include <string>
 
@@ -16,6 +17,7 @@
 /// The response to a GET request.
 struct HttpResponse {
     unsigned status = 0;
+    boost::beast::http::fields header;
     std::string body;
 };
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -3,6 +3,7 @@
 #include "base/backoff.h"
 #include "base/counters.h"
 #include "pages/query.h"
+#include "yaml/scalars.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -18,6 +19,14 @@
 
 constexpr std::uint32_t kMaxDoublings = 8;
 
+constexpr std::string_view kEraHeader = "Store-Era";
+
+std::uint64_t eraOf(const HttpResponse &response)
+{
+    const auto found = response.header.find(boost::beast::string_view(kEraHeader.data(), kEraHeader.size()));
+    return found == response.header.end() ? 0 : parseNumber({found->value().data(), found->value().size()}).value_or(0);
+}
+
 } // namespace
 
 // The timeout grows so that a store whose responses take longer than the initial timeout can still be read.
@@ -68,7 +77,7 @@
     if (!result) {
         co_return StoreResult{};
     }
-    co_return StoreResult{result->status, result->status == kStatusOk ? decoder(result->body) : std::nullopt};
+    co_return StoreResult{result->status, result->status == kStatusOk ? decoder(result->body) : std::nullopt, eraOf(*result)};
 }
 
 } // namespace medlarway
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -31,6 +31,7 @@
 struct StoreResult {
     unsigned status = 0; ///< HTTP status; 0 if no response was received
     std::optional<StoreResponse> response; ///< set only if the status is 200 and the body is valid
+    std::uint64_t era = 0; ///< of the store's data, which rises each time that the store returns to an older copy; 0 if unknown
 
     friend bool operator==(const StoreResult &, const StoreResult &) = default;
 };
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -130,6 +130,7 @@
 asio::awaitable<bool> StoreFeed::readPage()
 {
     const auto result = co_await client_.page("", fullRead_.after, consistency_, responseTimeoutAfter(failures_, options_.timeouts));
+    noteEra(result);
     if (!result.response) {
         co_return recordFailure("read", result.status);
     }
@@ -157,6 +158,7 @@
 asio::awaitable<bool> StoreFeed::catchUp()
 {
     const auto result = co_await client_.watch("", fullRead_.asOf, kMinWait, responseTimeoutAfter(failures_, options_.timeouts));
+    noteEra(result);
     if (asOf_ != 0) {
         co_return true; // resumeFrom() made the full read unnecessary during the call
     }
@@ -189,6 +191,7 @@
     const bool atOnce = std::exchange(confirmNext_, false) || failures_ > 0;
     const auto wait = atOnce ? kMinWait : options_.pace.wait;
     const auto result = co_await client_.watch("", asOf_, wait, responseTimeoutAfter(failures_, options_.timeouts));
+    noteEra(result);
     if (result.status == kStatusHistoryExpired) {
         asOf_ = 0;
         consistency_ = ReadConsistency::Latest;
@@ -230,6 +233,18 @@
     }
 }
 
+void StoreFeed::noteEra(const StoreResult &result)
+{
+    if (result.era > era_) {
+        if (era_ != 0) {
+            logEvent(Event::PlatformRestored,
+                     {field("era", result.era), field("before", era_), field("revision-before", asOf_), field("status", result.status),
+                      field("revision", result.response ? result.response->asOf : 0)});
+        }
+        era_ = result.era;
+    }
+}
+
 void StoreFeed::recordSuccess(std::uint64_t asOf, bool changed)
 {
     const auto now = monotonicNow();
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -106,6 +106,7 @@
     boost::asio::awaitable<bool> watch();
     bool applyChanges(const StoreResult &result);
     void apply(const StoreItem &item);
+    void noteEra(const StoreResult &result);
     void recordSuccess(std::uint64_t asOf, bool changed);
     bool recordFailure(std::string_view call, unsigned status);
 
@@ -118,6 +119,7 @@
     FullRead fullRead_;
     ReadConsistency consistency_ = ReadConsistency::AllowStale; ///< consistency of page reads
     std::uint64_t asOf_ = 0; ///< see asOf(); 0: a full read is needed
+    std::uint64_t era_ = 0; ///< highest era of the store's responses; 0 before the first response
     std::uint32_t failures_ = 0; ///< consecutive failures
     bool changed_ = false; ///< the last response contained changes
     Time callStartedAt_;
