--- a/bench/steering_bench.cpp
+++ b/bench/steering_bench.cpp
@@ -48,7 +48,7 @@
         entry.service = fmt::format("s{}", number % size.services);
         entry.zone.name = number % 2 == 0 ? "a" : "b";
         entry.slots = 2;
-        entry.revision = number + 1;
+        entry.revision = {1, number + 1};
         steering.directory().apply(entry, kStart);
     }
     return steering;
--- a/fuzz/steering_fuzz.cpp
+++ b/fuzz/steering_fuzz.cpp
@@ -42,7 +42,7 @@
             listUpstream(a, b);
             break;
         case 2:
-            steering_.directory().remove(idOf(a), ++revision_, now_);
+            steering_.directory().remove(idOf(a), {1, ++revision_}, now_);
             break;
         case 3:
             steering_.tick(now_);
@@ -94,7 +94,7 @@
         entry.zone.name = (b & 16U) != 0 ? "a" : "b";
         entry.draining = (b & 32U) != 0;
         entry.startMs = b & 64U;
-        entry.revision = ++revision_;
+        entry.revision = {1, ++revision_};
         steering_.directory().apply(entry, now_);
     }
 
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -222,7 +222,7 @@
             logEvent(event.kind == LivenessEventKind::Suspected ? Event::UpstreamEjected : Event::UpstreamReadmitted,
                      {field("upstream", upstream.entry.id), field("zone", upstream.entry.zone.name), field("flows", upstream.flows),
                       field("running", upstream.running), field("stalled", upstream.liveness.stalledFlows),
-                      field("entry-revision", upstream.entry.revision)});
+                      field("entry-revision", revisionToString(upstream.entry.revision))});
         }
         if (event.kind != LivenessEventKind::Recovered) {
             probe(event.upstream);
@@ -260,8 +260,9 @@
     }
     packets_.send(outgoing);
     const auto &upstream = steering_.directory().at(index);
-    logEvent(Event::UpstreamUnreachable, {field("upstream", upstream.entry.id), field("zone", upstream.entry.zone.name),
-                                          field("flows-reset", flows.size()), field("entry-revision", upstream.entry.revision)});
+    logEvent(Event::UpstreamUnreachable,
+             {field("upstream", upstream.entry.id), field("zone", upstream.entry.zone.name), field("flows-reset", flows.size()),
+              field("entry-revision", revisionToString(upstream.entry.revision))});
 }
 
 StoreFeedSink EntryHost::feedSink()
@@ -269,12 +270,13 @@
     StoreFeedSink sink;
     sink.config = [this](const RouteConfig &config) { applyConfig(config); };
     sink.upstream = [this](const UpstreamEntry &entry) { steering_.directory().apply(entry, monotonicNow()); };
-    sink.removed = [this](const std::string &id, std::uint64_t revision) { removeUpstream(id, revision); };
-    sink.complete = [this](const std::vector<std::string> &ids, std::uint64_t revision) {
+    sink.removed = [this](const std::string &id, const Revision &revision) { removeUpstream(id, revision); };
+    sink.complete = [this](const std::vector<std::string> &ids, const Revision &revision) {
         const auto removed = steering_.directory().removeUnlisted(ids, revision, monotonicNow());
         upstreamsLoaded_ = true;
         trackedFrom_ = revision;
-        logEvent(Event::CatalogueAccepted, {field("upstreams", ids.size()), field("removed", removed), field("revision", revision)});
+        logEvent(Event::CatalogueAccepted,
+                 {field("upstreams", ids.size()), field("removed", removed), field("revision", revisionToString(revision))});
     };
     sink.confirmed = [this] {
         knownRevision_ = std::max(knownRevision_, feed_.asOf());
@@ -307,9 +309,10 @@
     upstreamsLoaded_ = true;
     feed_.resumeFrom(delta.asOf);
     if (changed) {
-        logEvent(Event::PeerSnapshotTaken, {field("peer", endpointToString(endpointOf(from))), field("revision", delta.asOf),
-                                            field("version", steering_.routes().version()), field("before", versionBefore),
-                                            field("upstreams", delta.upstreams.size()), field("removed", delta.removed.size())});
+        logEvent(Event::PeerSnapshotTaken,
+                 {field("peer", endpointToString(endpointOf(from))), field("revision", revisionToString(delta.asOf)),
+                  field("version", steering_.routes().version()), field("before", versionBefore),
+                  field("upstreams", delta.upstreams.size()), field("removed", delta.removed.size())});
     }
 }
 
@@ -345,10 +348,10 @@
     }
 }
 
-void EntryHost::removeUpstream(const std::string &id, std::uint64_t revision)
+void EntryHost::removeUpstream(const std::string &id, const Revision &revision)
 {
     if (steering_.directory().remove(id, revision, monotonicNow())) {
-        logEvent(Event::UpstreamGone, {field("upstream", id), field("revision", revision)});
+        logEvent(Event::UpstreamGone, {field("upstream", id), field("revision", revisionToString(revision))});
     }
 }
 
@@ -429,7 +432,7 @@
     upstreamsLoaded_ = true;
     feed_.resumeFrom(snapshot.asOf);
     if (changed) {
-        logEvent(Event::PeerSnapshotTaken, {field("peer", endpointToString(from)), field("revision", snapshot.asOf),
+        logEvent(Event::PeerSnapshotTaken, {field("peer", endpointToString(from)), field("revision", revisionToString(snapshot.asOf)),
                                             field("version", snapshot.config.version), field("upstreams", snapshot.upstreams.size())});
     }
 }
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -44,7 +44,7 @@
     bool canExit(Time now) const;
     bool ready() const;
     void applyConfig(const RouteConfig &config);
-    void removeUpstream(const std::string &id, std::uint64_t revision);
+    void removeUpstream(const std::string &id, const Revision &revision);
     void checkForPause();
     void updateFreshness();
     void handleLivenessEvents();
@@ -81,8 +81,8 @@
     PageServer controlServer_;
     std::vector<PacketHeader> resets_; ///< resets to send for the current batch
     bool upstreamsLoaded_ = false; ///< a complete list was received from the platform or a peer
-    std::uint64_t knownRevision_ = 0; ///< platform revision up to which the data is complete
-    std::uint64_t trackedFrom_ = 0; ///< revision from which on all removals are known
+    Revision knownRevision_; ///< platform revision up to which the data is complete
+    Revision trackedFrom_; ///< revision from which on all removals are known
     std::uint64_t routeUnknownCount_ = 0; ///< packets without a known route at the last tick
     bool routeUnknown_ = false; ///< such packets came since
     bool urgent_ = false; ///< callers of this host or of a follower wait for a change of the platform
--- a/src/entry/entry_pages.h
+++ b/src/entry/entry_pages.h
@@ -21,8 +21,8 @@
     bool stopping = false;
     bool storeReachable = false; ///< the last request to the store got a response
     Time lastStoreResponse; ///< the epoch if there was none
-    std::uint64_t storeRevision = 0; ///< revision up to which the store feed is complete
-    std::uint64_t knownRevision = 0; ///< revision up to which the data is complete, whoever supplied it
+    Revision storeRevision; ///< revision up to which the store feed is complete
+    Revision knownRevision; ///< revision up to which the data is complete, whoever supplied it
     Time confirmedAt; ///< when the platform last confirmed the data, to this host or to one that passed it on; Time{} if never
     HostId self;
     HostId source; ///< the host that this one follows, or itself
--- a/src/entry/flow_log.cpp
+++ b/src/entry/flow_log.cpp
@@ -40,7 +40,8 @@
                      field("zone", upstream.entry.zone.name), field("token", fmt::format("{:08x}", upstream.token)),
                      field("running", upstream.running), field("expected", fmt::format("{:.2f}", upstream.expectedLoad)),
                      field("stalled", upstream.liveness.stalledFlows), field("version", steering.routes().version()),
-                     field("entry-revision", upstream.entry.revision), field("store-age-ms", ageMs(entry.lastStoreResponse, now))});
+                     field("entry-revision", revisionToString(upstream.entry.revision)),
+                     field("store-age-ms", ageMs(entry.lastStoreResponse, now))});
 }
 
 void logDecision(const FlowSteering &steering, const FlowId &flow, const SteeringDecision &decision, Time lastStoreResponse, Time now)
--- a/src/entry/peer_feed.cpp
+++ b/src/entry/peer_feed.cpp
@@ -1,6 +1,7 @@
 #include "entry/peer_feed.h"
 
 #include "base/errors.h"
+#include "entry/revision_text.h"
 #include "pages/http_client.h"
 #include "pages/query.h"
 #include "peering/boot_number.h"
@@ -103,13 +104,14 @@
     answerHeld();
     if (follower_.source() != source_) {
         source_ = follower_.source();
-        logEvent(Event::SourceChosen, {field("source", source_ == self_ ? "platform" : endpointToString(endpointOf(source_))),
-                                       field("zone-hosts", follower_.knownZoneHosts()), field("revision", callbacks_.known().asOf),
-                                       field("age-ms", inMilliseconds(confirmedAgo(now).value_or(Duration{})))});
+        logEvent(Event::SourceChosen,
+                 {field("source", source_ == self_ ? "platform" : endpointToString(endpointOf(source_))),
+                  field("zone-hosts", follower_.knownZoneHosts()), field("revision", revisionToString(callbacks_.known().asOf)),
+                  field("age-ms", inMilliseconds(confirmedAgo(now).value_or(Duration{})))});
     }
     if (const auto reason = follower_.readReason(now); reason != readReason_) {
         logEvent(Event::ReadingChanged, {field("reason", readReasonName(reason)), field("before", readReasonName(readReason_)),
-                                         field("revision", callbacks_.known().asOf), field("followers", held_.size()),
+                                         field("revision", revisionToString(callbacks_.known().asOf)), field("followers", held_.size()),
                                          field("age-ms", inMilliseconds(confirmedAgo(now).value_or(Duration{})))});
         readReason_ = reason;
         callbacks_.readReasonChanged(reason);
@@ -226,8 +228,8 @@
         reply.hosts = follower_.hosts().report(zone, now);
     }
     const KnownData receiver{held.request.after, held.request.version};
-    reply.fetch = known.asOf != 0 && receiver.asOf == 0;
-    if (known.asOf != 0 && !reply.fetch) {
+    reply.fetch = isKnown(known.asOf) && !isKnown(receiver.asOf);
+    if (isKnown(known.asOf) && !reply.fetch) {
         reply.delta = callbacks_.makeDelta(receiver);
     }
     auto body = encodeMessage(reply);
@@ -254,8 +256,8 @@
     const auto startedAt = monotonicNow();
     const auto known = callbacks_.known();
     HttpClient reader(context_, control);
-    const auto response = co_await reader.get(fmt::format("{}?after={}&version={}&from={}", kDeltaPath, known.asOf, known.version,
-                                                          encodeQueryValue(endpointToString(endpointOf(self_)))),
+    const auto response = co_await reader.get(fmt::format("{}?after={}&version={}&from={}", kDeltaPath, revisionToString(known.asOf),
+                                                          known.version, encodeQueryValue(endpointToString(endpointOf(self_)))),
                                               kFetchTimeout, kConnectTimeout);
     reader.close();
     callbacks_.beforeUse();
@@ -292,18 +294,18 @@
     }
     callbacks_.beforeUse();
     auto query = parsed->query;
-    const auto after = parseNumber(query["after"]);
+    const auto after = parseRevision(query["after"]);
     const auto version = parseNumber(query["version"]);
     const auto from = parseEndpoint(query["from"]);
     const auto known = callbacks_.known();
-    if (!after || !version || !from || known.asOf == 0) {
+    if (!after || !version || !from || !isKnown(known.asOf)) {
         return PageResponse{kStatusNoContent, "application/cbor", ""};
     }
     const KnownData receiver{*after, *version};
     if (page_.delta.empty() || page_.receiver != receiver || page_.known != known) {
         page_ = CachedPage{receiver, known, encodeMessage(callbacks_.makeDelta(receiver))};
     }
-    const auto priority = receiver.asOf == 0 ? MessagePriority::Normal : MessagePriority::High;
+    const auto priority = !isKnown(receiver.asOf) ? MessagePriority::Normal : MessagePriority::High;
     if (!pageBudget_.take(std::min<std::size_t>(page_.delta.size(), kMaxChargedBytes), priority, monotonicNow())) {
         return PageResponse{kStatusUnavailable, "application/cbor", ""};
     }
--- a/src/entry/peer_snapshots.cpp
+++ b/src/entry/peer_snapshots.cpp
@@ -1,6 +1,7 @@
 #include "entry/peer_snapshots.h"
 
 #include "base/errors.h"
+#include "entry/revision_text.h"
 #include "pages/query.h"
 #include "peering/codec.h"
 #include "yaml/scalars.h"
@@ -38,7 +39,7 @@
         return std::nullopt;
     }
     auto query = parsed->query;
-    const auto after = parseNumber(query["after"]);
+    const auto after = parseRevision(query["after"]);
     if (!after) {
         return std::nullopt;
     }
@@ -47,7 +48,7 @@
 
 std::string snapshotTarget(const SnapshotRequest &request)
 {
-    return fmt::format("{}?after={}&from={}", kSnapshotPath, request.after,
+    return fmt::format("{}?after={}&from={}", kSnapshotPath, revisionToString(request.after),
                        request.from ? encodeQueryValue(endpointToString(*request.from)) : "");
 }
 
--- a/src/entry/peer_snapshots.h
+++ b/src/entry/peer_snapshots.h
@@ -19,7 +19,7 @@
 
 /// A request for a snapshot.
 struct SnapshotRequest {
-    std::uint64_t after = 0; ///< revision of the requesting host; only a later one is sent
+    Revision after; ///< revision of the requesting host; only a later one is sent
     std::optional<Endpoint> from; ///< control address of the requesting host
 
     friend bool operator==(const SnapshotRequest &, const SnapshotRequest &) = default;
@@ -38,7 +38,7 @@
     /// Functions of the owner, called on the thread that runs the context.
     struct Callbacks {
         std::function<bool()> needed; ///< whether the platform does not respond to this host
-        std::function<std::uint64_t()> knownRevision; ///< revision up to which this host's data is complete
+        std::function<Revision()> knownRevision; ///< revision up to which this host's data is complete
         std::function<void(const SteeringSnapshot &snapshot, const Endpoint &from)> apply; ///< applies a received snapshot
     };
 
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -115,7 +115,7 @@
 asio::awaitable<bool> StoreFeed::runNextStep()
 {
     callStartedAt_ = monotonicNow();
-    if (asOf_ != 0) {
+    if (isKnown(asOf_)) {
         co_return co_await watch();
     }
     if (fullRead_.allPagesRead) {
@@ -130,17 +130,22 @@
 asio::awaitable<bool> StoreFeed::readPage()
 {
     const auto result = co_await client_.page("", fullRead_.after, consistency_, responseTimeoutAfter(failures_, options_.timeouts));
-    noteEra(result);
+    recordEra(result);
     if (!result.response) {
         co_return recordFailure("read", result.status);
     }
-    if (asOf_ != 0) {
+    if (isKnown(asOf_)) {
         co_return true; // resumeFrom() made the full read unnecessary during the call
     }
     const auto &response = *result.response;
-    fullRead_.asOf = fullRead_.asOf == 0 ? response.asOf : std::min(fullRead_.asOf, response.asOf);
+    const Revision pageAsOf{result.era, response.asOf};
+    if (isKnown(fullRead_.asOf) && fullRead_.asOf.era != result.era) {
+        restartFullRead();
+        co_return true;
+    }
+    fullRead_.asOf = isKnown(fullRead_.asOf) ? std::min(fullRead_.asOf, pageAsOf) : pageAsOf;
     for (const auto &item : response.items) {
-        apply(item);
+        apply(item, result.era);
         if (item.key.starts_with(kUpstreamPrefix)) {
             fullRead_.ids.push_back(item.key.substr(kUpstreamPrefix.size()));
         }
@@ -153,18 +158,19 @@
     co_return true;
 }
 
-// Completes the full read with the changes since its oldest page. If the store no longer has that history, the pages were too old and are
-// read again with the latest data.
+// Completes the full read with the changes since its oldest page. If the store no longer has that history, or the pages come from a history
+// that it has lost, they are read again with the latest data.
 asio::awaitable<bool> StoreFeed::catchUp()
 {
-    const auto result = co_await client_.watch("", fullRead_.asOf, kMinWait, responseTimeoutAfter(failures_, options_.timeouts));
-    noteEra(result);
-    if (asOf_ != 0) {
+    const auto after = fullRead_.asOf;
+    const auto result = co_await client_.watch("", after.number, kMinWait, responseTimeoutAfter(failures_, options_.timeouts));
+    recordEra(result);
+    if (isKnown(asOf_)) {
         co_return true; // resumeFrom() made the full read unnecessary during the call
     }
-    if (result.status == kStatusHistoryExpired) {
-        consistency_ = ReadConsistency::Latest;
-        fullRead_ = {};
+    const bool otherHistory = result.response && (result.era != after.era || result.response->asOf < after.number);
+    if (result.status == kStatusHistoryExpired || otherHistory) {
+        restartFullRead();
         co_return true;
     }
     if (!result.response) {
@@ -176,9 +182,17 @@
     co_return applyChanges(result);
 }
 
-void StoreFeed::resumeFrom(std::uint64_t asOf)
+void StoreFeed::restartFullRead()
+{
+    asOf_ = {};
+    fullRead_ = {};
+    consistency_ = ReadConsistency::Latest;
+    changed_ = false;
+}
+
+void StoreFeed::resumeFrom(const Revision &asOf)
 {
-    if (asOf_ == 0) {
+    if (!isKnown(asOf_)) {
         fullRead_ = {};
     }
     asOf_ = std::max(asOf_, asOf);
@@ -190,12 +204,16 @@
 {
     const bool atOnce = std::exchange(confirmNext_, false) || failures_ > 0;
     const auto wait = atOnce ? kMinWait : options_.pace.wait;
-    const auto result = co_await client_.watch("", asOf_, wait, responseTimeoutAfter(failures_, options_.timeouts));
-    noteEra(result);
-    if (result.status == kStatusHistoryExpired) {
-        asOf_ = 0;
-        consistency_ = ReadConsistency::Latest;
-        changed_ = false;
+    const auto after = asOf_;
+    const auto result = co_await client_.watch("", after.number, wait, responseTimeoutAfter(failures_, options_.timeouts));
+    recordEra(result);
+    if (asOf_.era != after.era) {
+        co_return true; // resumeFrom() led to a later era during the call, whose result tells nothing of that
+    }
+    // The number that was asked for may stand for another change in the response's era, so changes before it may be missing.
+    const bool otherHistory = result.response && result.era != after.era;
+    if (result.status == kStatusHistoryExpired || otherHistory) {
+        restartFullRead();
         co_return true;
     }
     co_return result.response ? applyChanges(result) : recordFailure("watch", result.status);
@@ -204,15 +222,16 @@
 bool StoreFeed::applyChanges(const StoreResult &result)
 {
     for (const auto &item : result.response->items) {
-        apply(item);
+        apply(item, result.era);
     }
-    recordSuccess(std::max(asOf_, result.response->asOf), !result.response->items.empty());
+    recordSuccess(std::max(asOf_, Revision{result.era, result.response->asOf}), !result.response->items.empty());
     return true;
 }
 
 // An invalid entry removes the upstream, even if an earlier revision of the entry was valid.
-void StoreFeed::apply(const StoreItem &item)
+void StoreFeed::apply(const StoreItem &item, std::uint64_t era)
 {
+    const Revision revision{era, item.revision};
     if (item.key == kConfigKey) {
         if (const auto config = item.deleted ? std::nullopt : decodeConfig(item.value)) {
             sink_.config(*config);
@@ -225,33 +244,34 @@
         return;
     }
     const auto id = item.key.substr(kUpstreamPrefix.size());
-    const auto entry = item.deleted ? std::nullopt : decodeUpstream(id, item.value, item.revision);
+    const auto entry = item.deleted ? std::nullopt : decodeUpstream(id, item.value, revision);
     if (entry) {
         sink_.upstream(*entry);
     } else {
-        sink_.removed(id, item.revision);
+        sink_.removed(id, revision);
     }
 }
 
-void StoreFeed::noteEra(const StoreResult &result)
+void StoreFeed::recordEra(const StoreResult &result)
 {
-    if (result.era > era_) {
-        if (era_ != 0) {
-            logEvent(Event::PlatformRestored,
-                     {field("era", result.era), field("before", era_), field("revision-before", asOf_), field("status", result.status),
-                      field("revision", result.response ? result.response->asOf : 0)});
-        }
-        era_ = result.era;
+    if (result.era <= era_) {
+        return;
+    }
+    if (era_ != 0) {
+        logEvent(Event::PlatformRestored,
+                 {field("era", result.era), field("before", era_), field("revision-before", revisionToString(asOf_)),
+                  field("status", result.status), field("revision", result.response ? result.response->asOf : 0)});
     }
+    era_ = result.era;
 }
 
-void StoreFeed::recordSuccess(std::uint64_t asOf, bool changed)
+void StoreFeed::recordSuccess(const Revision &asOf, bool changed)
 {
     const auto now = monotonicNow();
     if (failures_ > 0) {
         const auto silence = lastResponseAt_ == Time{} ? Duration{} : now - lastResponseAt_;
         logEvent(Event::PlatformRecovered,
-                 {field("failures", failures_), field("revision", asOf), field("silent-ms", inMilliseconds(silence))});
+                 {field("failures", failures_), field("revision", revisionToString(asOf)), field("silent-ms", inMilliseconds(silence))});
     }
     asOf_ = asOf;
     changed_ = changed;
@@ -268,7 +288,7 @@
         return false; // the call failed because reconnect() closed the connection
     }
     ++failures_;
-    reportError(ErrorKind::PlatformUnreachable, fmt::format("{} after revision {}: {} after {} ms", call, asOf_,
+    reportError(ErrorKind::PlatformUnreachable, fmt::format("{} after revision {}: {} after {} ms", call, revisionToString(asOf_),
                                                             status == 0 ? "no response" : fmt::format("status {}", status),
                                                             inMilliseconds(monotonicNow() - callStartedAt_)));
     if (sink_.failed) {
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -35,9 +35,9 @@
 struct StoreFeedSink {
     std::function<void(const RouteConfig &config)> config;
     std::function<void(const UpstreamEntry &entry)> upstream;
-    std::function<void(const std::string &id, std::uint64_t revision)> removed; ///< the entry was deleted or is invalid
+    std::function<void(const std::string &id, const Revision &revision)> removed; ///< the entry was deleted or is invalid
     /// A full read has completed; ids are those of all upstreams.
-    std::function<void(const std::vector<std::string> &ids, std::uint64_t revision)> complete;
+    std::function<void(const std::vector<std::string> &ids, const Revision &revision)> complete;
     std::function<void()> confirmed; ///< the store reported all changes up to asOf()
     std::function<void()> failed; ///< a call failed
 };
@@ -61,7 +61,7 @@
 
     /// Called after a peer supplied all data up to a store revision: the feed watches for changes after it. An incomplete full read is
     /// skipped, so hosts that start together need not all read everything.
-    void resumeFrom(std::uint64_t asOf);
+    void resumeFrom(const Revision &asOf);
 
     /// Closes the connection, which may be dead without an error, and repeats the call at once.
     void reconnect();
@@ -81,9 +81,9 @@
         return failures_ == 0 && lastResponseAt_ != Time{};
     }
 
-    /// The store revision up to which the data is complete; 0 before the first full read or resumeFrom(), and again after the store
-    /// discarded the history that a watch needs.
-    std::uint64_t asOf() const
+    /// The store revision up to which the data is complete; unknown before the first full read or resumeFrom(), and again after the store
+    /// discarded the history that a watch needs or returned to an older copy of its data.
+    const Revision &asOf() const
     {
         return asOf_;
     }
@@ -92,7 +92,7 @@
     // Progress of a full read: all pages, then the changes since the oldest page.
     struct FullRead {
         std::string after; ///< last key of the previous page; empty before the first page
-        std::uint64_t asOf = 0; ///< lowest store revision of the pages read so far
+        Revision asOf; ///< lowest store revision of the pages read so far
         std::vector<std::string> ids; ///< ids of the upstreams read so far
         bool allPagesRead = false;
     };
@@ -104,10 +104,11 @@
     boost::asio::awaitable<bool> readPage();
     boost::asio::awaitable<bool> catchUp();
     boost::asio::awaitable<bool> watch();
+    void restartFullRead();
     bool applyChanges(const StoreResult &result);
-    void apply(const StoreItem &item);
-    void noteEra(const StoreResult &result);
-    void recordSuccess(std::uint64_t asOf, bool changed);
+    void apply(const StoreItem &item, std::uint64_t era);
+    void recordEra(const StoreResult &result);
+    void recordSuccess(const Revision &asOf, bool changed);
     bool recordFailure(std::string_view call, unsigned status);
 
     boost::asio::io_context &context_;
@@ -118,7 +119,7 @@
     boost::asio::steady_timer timer_;
     FullRead fullRead_;
     ReadConsistency consistency_ = ReadConsistency::AllowStale; ///< consistency of page reads
-    std::uint64_t asOf_ = 0; ///< see asOf(); 0: a full read is needed
+    Revision asOf_; ///< see asOf(); a full read is needed while it is unknown
     std::uint64_t era_ = 0; ///< highest era of the store's responses; 0 before the first response
     std::uint32_t failures_ = 0; ///< consecutive failures
     bool changed_ = false; ///< the last response contained changes
--- a/src/platform/store_values.cpp
+++ b/src/platform/store_values.cpp
@@ -215,7 +215,7 @@
     return number;
 }
 
-std::optional<UpstreamEntry> decodeUpstream(std::string_view id, std::string_view value, std::uint64_t revision)
+std::optional<UpstreamEntry> decodeUpstream(std::string_view id, std::string_view value, const Revision &revision)
 {
     const auto object = parseObject(value);
     const auto number = upstreamNumber(id);
--- a/src/platform/store_values.h
+++ b/src/platform/store_values.h
@@ -38,7 +38,7 @@
 std::optional<StoreResponse> decodeStoreItem(std::string_view body);
 
 /// Decodes an upstream's entry; nullopt if a field is missing or invalid, in which case the upstream must not be used. Never throws.
-std::optional<UpstreamEntry> decodeUpstream(std::string_view id, std::string_view value, std::uint64_t revision);
+std::optional<UpstreamEntry> decodeUpstream(std::string_view id, std::string_view value, const Revision &revision);
 
 /// Decodes the operator's configuration; nullopt if it is invalid. Never throws.
 std::optional<RouteConfig> decodeConfig(std::string_view value);
--- a/src/replication/follower.cpp
+++ b/src/replication/follower.cpp
@@ -143,11 +143,11 @@
         penalize(from, Failure::StaleData, now);
     }
 
-    othersLackData_ = othersLackData_ || reply.asOf == 0;
+    othersLackData_ = othersLackData_ || !isKnown(reply.asOf);
 
     // Step 3. Take its data. When the platform confirmed it follows from durations only, as clocks of hosts can't be compared: the reply
     // was on its way for at most the part of the round trip in which it was not held.
-    if (reply.asOf < known_.asOf || reply.asOf == 0) {
+    if (reply.asOf < known_.asOf || !isKnown(reply.asOf)) {
         return ReplyUse::Ignore;
     }
     if (reply.fetch) {
@@ -234,7 +234,7 @@
     }
     probePenalized(now, outbox);
     // Step 3. Ask the source for changes.
-    if (source_ != options_.self && known_.asOf != 0 && now >= nextRequestAt_ && !fetching_ && !requests_.contains(source_)) {
+    if (source_ != options_.self && isKnown(known_.asOf) && now >= nextRequestAt_ && !fetching_ && !requests_.contains(source_)) {
         send(source_, probing_ ? Duration{} : options_.timing.requestHold, true, now, outbox);
     }
     nextTick_ = firstDue(now);
@@ -245,9 +245,9 @@
 {
     hosts_.expire(now);
     std::vector<HostId> targets;
-    if (known_.asOf == 0 || discoveries_ < kDiscoveryDelays.size()) {
+    if (!isKnown(known_.asOf) || discoveries_ < kDiscoveryDelays.size()) {
         targets = options_.seeds;
-        const auto ranked = hosts_.ranked(options_.zone, known_.asOf == 0 ? kReportedHosts : 0);
+        const auto ranked = hosts_.ranked(options_.zone, !isKnown(known_.asOf) ? kReportedHosts : 0);
         targets.insert(targets.end(), ranked.begin(), ranked.end());
     } else if (!options_.seeds.empty() && random_.unit() < 0.5) {
         targets.push_back(options_.seeds[random_.below(options_.seeds.size())]);
@@ -260,7 +260,7 @@
             send(host, Duration{}, false, now, outbox);
         }
     }
-    if (known_.asOf == 0) {
+    if (!isKnown(known_.asOf)) {
         nextDiscoveryAt_ = now + kStartRetry;
         return;
     }
@@ -363,7 +363,7 @@
     for (const auto &[host, penalty] : penalties_) {
         due = penalty.until > now ? std::min(due, penalty.until) : due;
     }
-    if (known_.asOf == 0) {
+    if (!isKnown(known_.asOf)) {
         due = std::min(due, startedAt_ + kStartWait);
     } else if (source_ != options_.self) {
         due = std::min(due, readSelfAt_);
@@ -374,7 +374,7 @@
 
 ReadReason Follower::readReason(Time now) const
 {
-    if (known_.asOf == 0) {
+    if (!isKnown(known_.asOf)) {
         const bool useless = options_.seeds.empty() || isSeed() || othersLackData_;
         const auto wait = useless ? Duration{} : (fetching_ ? kStartFetchWait : kStartWait);
         return now - startedAt_ >= wait ? ReadReason::Starting : ReadReason::None;
--- a/src/replication/message.h
+++ b/src/replication/message.h
@@ -32,7 +32,7 @@
 /// Asks a host for what changed on the platform since a revision, and for the hosts of the sender's availability zone.
 struct FeedRequest {
     std::uint32_t number = 0; ///< random; the reply repeats it
-    std::uint64_t after = 0; ///< platform revision up to which the sender's data is complete; 0: it has none
+    Revision after; ///< platform revision up to which the sender's data is complete
     std::uint64_t version = 0; ///< of the sender's configuration
     Duration hold{}; ///< the receiver may wait this long for something new
     bool follow = false; ///< the sender relies on the receiver, which then reads the platform
@@ -46,7 +46,7 @@
 struct FeedReply {
     std::uint32_t number = 0;
     Duration held{}; ///< time from the receipt of the request to this reply
-    std::uint64_t asOf = 0; ///< platform revision up to which the sender's data is complete; 0: it has none
+    Revision asOf; ///< platform revision up to which the sender's data is complete
     std::optional<Duration> confirmedAgo; ///< time since the platform confirmed that data, summed over all hosts that passed it on
     bool platformFails = false; ///< the platform does not respond to the sender
     bool fetch = false; ///< the changes exceed a datagram and must be fetched from the sender's pages
--- a/src/standin/platform/store.cpp
+++ b/src/standin/platform/store.cpp
@@ -113,6 +113,7 @@
                 co_await waitFor(std::chrono::hours{1}, [this] { return !running; });
                 co_return;
             }
+            response.set("Store-Era", std::to_string(era));
             response.prepare_payload();
             const auto [writeError, written] = co_await http::async_write(socket, response, kWaitForCompletion);
             if (writeError) {
@@ -173,9 +174,9 @@
         const auto after = toNumber(query["after"]);
         ++pendingWatches;
         co_await waitFor(std::chrono::milliseconds{toNumber(query["wait-ms"])},
-                         [&] { return fault != StoreFault::None || after < historyStart || !changesAfter(prefix, after).empty(); });
+                         [&] { return fault != StoreFault::None || !hasHistoryAfter(after) || !changesAfter(prefix, after).empty(); });
         --pendingWatches;
-        if (after < historyStart) {
+        if (!hasHistoryAfter(after)) {
             response.result(http::status::gone);
             co_return;
         }
@@ -205,6 +206,11 @@
         return Json{{"items", page}, {"has-more", more}, {"as-of", contents.revision}}.dump();
     }
 
+    bool hasHistoryAfter(std::uint64_t after) const
+    {
+        return after >= historyStart && after <= revision;
+    }
+
     Json changesAfter(const std::string &prefix, std::uint64_t after) const
     {
         auto list = Json::array();
@@ -226,10 +232,12 @@
     std::size_t calls = 0;
     std::size_t staleCalls = 0;
     std::size_t pendingWatches = 0;
+    std::uint64_t era = 1;
     std::uint64_t revision = 1;
     std::uint64_t historyStart = 0;
     std::map<std::string, Change> items;
     std::vector<Change> history;
+    std::optional<Contents> copy; ///< contents to return to
     std::optional<Contents> staleContents; ///< contents that stale reads return, once frozen
 };
 
@@ -267,6 +275,20 @@
     dropHistory();
 }
 
+void StandinStore::keepCopy()
+{
+    impl_->copy = Impl::Contents{impl_->revision, impl_->items};
+}
+
+void StandinStore::restoreCopy()
+{
+    const auto &copy = impl_->copy.value();
+    ++impl_->era;
+    impl_->revision = copy.revision;
+    impl_->items = copy.items;
+    std::erase_if(impl_->history, [&copy](const Change &change) { return change.revision > copy.revision; });
+}
+
 std::uint64_t StandinStore::remove(const std::string &key)
 {
     impl_->items.erase(key);
@@ -300,6 +322,15 @@
     impl_->staleContents = Impl::Contents{impl_->revision, impl_->items};
 }
 
+void StandinStore::serveStaleReads(const std::map<std::string, std::string> &values, std::uint64_t revision)
+{
+    Impl::Contents contents{revision, {}};
+    for (const auto &[key, value] : values) {
+        contents.items[key] = Change{key, value, revision, false};
+    }
+    impl_->staleContents = std::move(contents);
+}
+
 void StandinStore::setPageItems(std::size_t items)
 {
     impl_->pageItems = items;
--- a/src/standin/platform/store.h
+++ b/src/standin/platform/store.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -40,6 +41,12 @@
     /// Sets an item back to an earlier revision, as a store that lost data would, and discards the history.
     void rollBack(const std::string &key, const std::string &value, std::uint64_t revision);
 
+    /// Remembers the contents and revision of this moment.
+    void keepCopy();
+
+    /// Returns to the remembered contents and revision, which begins a new era: later revisions are given out again.
+    void restoreCopy();
+
     /// Removes an item and returns the revision of the removal.
     std::uint64_t remove(const std::string &key);
 
@@ -57,6 +64,9 @@
     /// From now on, stale reads return the contents of this moment.
     void freezeStaleReads();
 
+    /// From now on, stale reads return these items as of this revision.
+    void serveStaleReads(const std::map<std::string, std::string> &values, std::uint64_t revision);
+
     /// Maximum number of items in a page of a range read.
     void setPageItems(std::size_t items);
 
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -24,10 +24,14 @@
     return services_.empty() || std::find(services_.begin(), services_.end(), service) != services_.end();
 }
 
-bool UpstreamDirectory::apply(const UpstreamEntry &entry, Time now)
+bool UpstreamDirectory::apply(const UpstreamEntry &offered, Time now)
 {
+    auto entry = offered;
     auto index = findById(entry.id);
     const bool added = index == kNoUpstream;
+    if (added && entry.revision.era < eraReadAt_.era) {
+        return false;
+    }
     if (added) {
         index = add(entry);
     }
@@ -35,12 +39,19 @@
     if (entry.revision < record.entry.revision) {
         return false;
     }
-    // Step 1. A restarted upstream has lost the flows of the previous process.
+    // Step 1. An older copy of the platform's data may precede a restart or the report that the upstream drains.
+    if (entry.revision.era > record.entry.revision.era) {
+        if (entry.startMs != 0 && entry.startMs < record.entry.startMs) {
+            return false;
+        }
+        entry.draining = entry.draining || (record.entry.draining && entry.startMs == record.entry.startMs);
+    }
+    // Step 2. A restarted upstream has lost the flows of the previous process.
     if (entry.startMs != record.entry.startMs) {
         record.liveness = Liveness{};
         record.running = 0;
     }
-    // Step 2. A relisted upstream keeps its record and its flows.
+    // Step 3. A relisted upstream keeps its record and its flows.
     const bool relisted = !added && record.presence != Presence::Listed;
     const bool moved = record.entry.service != entry.service;
     if (relisted) {
@@ -56,7 +67,7 @@
     return true;
 }
 
-bool UpstreamDirectory::remove(std::string_view id, std::uint64_t revision, Time now)
+bool UpstreamDirectory::remove(std::string_view id, const Revision &revision, Time now)
 {
     const auto index = findById(id);
     if (index == kNoUpstream || upstreams_[index].presence != Presence::Listed || revision < upstreams_[index].entry.revision) {
@@ -67,8 +78,12 @@
     return true;
 }
 
-std::size_t UpstreamDirectory::removeUnlisted(std::span<const std::string> ids, std::uint64_t revision, Time now)
+std::size_t UpstreamDirectory::removeUnlisted(std::span<const std::string> ids, const Revision &revision, Time now)
 {
+    if (revision.era > eraReadAt_.era) {
+        eraReadAt_ = revision;
+        reregisterUntil_ = now + kReregisterTime;
+    }
     const boost::unordered_flat_set<std::string_view> listed(ids.begin(), ids.end());
     std::size_t removed = 0;
     for (UpstreamIndex index = 0; index < upstreams_.size(); ++index) {
@@ -76,6 +91,9 @@
         if (record.entry.id.empty() || record.presence != Presence::Listed || record.entry.revision > revision) {
             continue;
         }
+        if (record.entry.revision.era < revision.era) {
+            continue; // removeUnregistered() decides
+        }
         if (!listed.contains(record.entry.id)) {
             record.entry.revision = revision;
             delist(index, Presence::Removed, now);
@@ -85,8 +103,24 @@
     return removed;
 }
 
+void UpstreamDirectory::removeUnregistered(Time now)
+{
+    if (!reregisterUntil_ || now < *reregisterUntil_) {
+        return;
+    }
+    reregisterUntil_.reset();
+    for (UpstreamIndex index = 0; index < upstreams_.size(); ++index) {
+        auto &record = upstreams_[index];
+        if (!record.entry.id.empty() && record.presence == Presence::Listed && record.entry.revision.era < eraReadAt_.era) {
+            record.entry.revision = eraReadAt_;
+            delist(index, Presence::Removed, now);
+        }
+    }
+}
+
 void UpstreamDirectory::expire(Time now)
 {
+    removeUnregistered(now);
     for (UpstreamIndex index = 0; index < upstreams_.size(); ++index) {
         auto &record = upstreams_[index];
         if (record.entry.id.empty() || record.presence == Presence::Listed || record.flows > 0
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -4,6 +4,7 @@
 #include "base/host.h"
 #include "base/time.h"
 #include "steering/flow_packet.h"
+#include "steering/revision.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cstdint>
@@ -27,7 +28,7 @@
     bool draining = false; ///< accepts no new flows, keeps serving open ones
     Duration warmUpLeft{}; ///< remaining time of slow responses after its start
     std::uint64_t startMs = 0; ///< start time in milliseconds; 0 if the entry has none
-    std::uint64_t revision = 0; ///< platform revision of the entry; a lower one never replaces a higher one
+    Revision revision; ///< platform revision of the entry; a lower one never replaces a higher one
 
     friend bool operator==(const UpstreamEntry &, const UpstreamEntry &) = default;
 };
@@ -73,6 +74,10 @@
 /// How long a delisted upstream can still be found by its token. Exceeds the longest time that clients keep a flow.
 inline constexpr Duration kTombstoneDuration = std::chrono::seconds{75};
 
+/// How long an upstream may take to register again after the platform returned to an older copy of its data. The platform's page says two
+/// seconds.
+inline constexpr Duration kReregisterTime = std::chrono::seconds{2};
+
 /// The token of an upstream, the same on every host.
 FlowToken tokenOf(std::string_view id);
 
@@ -83,21 +88,23 @@
     /// Sets the services that exist. An entry of any other service can't take over an upstream's address. Empty: every service is accepted.
     void setServices(std::vector<std::string> services);
 
-    /// Adds or updates an entry; false if a later revision is already stored.
+    /// Adds or updates an entry; false if a later revision is already stored. Of an older copy of the platform's data, an entry of an
+    /// earlier process of the upstream is refused, and an upstream that was draining still is. An entry of an earlier era is not added.
     bool apply(const UpstreamEntry &entry, Time now);
 
     /// Marks an upstream as no longer listed; false if it is not listed or a later revision is stored.
-    bool remove(std::string_view id, std::uint64_t revision, Time now);
+    bool remove(std::string_view id, const Revision &revision, Time now);
 
     /// Reconciles with a complete read of the platform at a revision: marks as removed all listed upstreams whose id is not in ids,
-    /// except entries of a later revision. Returns how many.
-    std::size_t removeUnlisted(std::span<const std::string> ids, std::uint64_t revision, Time now);
+    /// except entries of a later revision. Entries of an earlier era have kReregisterTime to appear again. Returns how many were removed.
+    std::size_t removeUnlisted(std::span<const std::string> ids, const Revision &revision, Time now);
 
-    /// Erases upstreams that were delisted kTombstoneDuration ago and have no flows on this host.
+    /// Marks as removed the upstreams that did not register again after the platform returned to an older copy of its data, and erases
+    /// those that were delisted kTombstoneDuration ago and have no flows on this host.
     void expire(Time now);
 
-    /// The highest platform revision of the upstreams that expire() has erased; 0 if there were none.
-    std::uint64_t forgottenUpTo() const
+    /// The highest platform revision of the upstreams that expire() has erased; unknown if there were none.
+    const Revision &forgottenUpTo() const
     {
         return forgottenUpTo_;
     }
@@ -136,6 +143,7 @@
     }
 
 private:
+    void removeUnregistered(Time now);
     UpstreamIndex add(const UpstreamEntry &entry);
     void delist(UpstreamIndex index, Presence presence, Time now);
     void claimAddress(UpstreamIndex index, Time now);
@@ -146,7 +154,9 @@
     std::vector<UpstreamRecord> upstreams_;
     std::vector<UpstreamIndex> free_; ///< unused records
     std::size_t listed_ = 0;
-    std::uint64_t forgottenUpTo_ = 0; ///< see forgottenUpTo()
+    Revision forgottenUpTo_; ///< see forgottenUpTo()
+    Revision eraReadAt_; ///< revision of the first complete read of the current era
+    std::optional<Time> reregisterUntil_; ///< when the entries of earlier eras count as removed
     boost::unordered_flat_map<std::string, UpstreamIndex> byId_;
     boost::unordered_flat_map<Endpoint, UpstreamIndex, std::hash<Endpoint>> byAddress_;
     boost::unordered_flat_map<FlowToken, std::vector<UpstreamIndex>> byToken_;
--- a/src/steering/snapshot.cpp
+++ b/src/steering/snapshot.cpp
@@ -5,7 +5,7 @@
 namespace medlarway
 {
 
-SteeringSnapshot takeSnapshot(const FlowSteering &steering, std::uint64_t asOf)
+SteeringSnapshot takeSnapshot(const FlowSteering &steering, const Revision &asOf)
 {
     SteeringSnapshot snapshot;
     snapshot.asOf = asOf;
@@ -24,7 +24,7 @@
 }
 
 // An upstream whose address was taken over is reported as removed: the receiver may not know the one that took it.
-SteeringDelta takeDelta(const FlowSteering &steering, const KnownData &receiver, std::uint64_t asOf, std::uint64_t trackedFrom)
+SteeringDelta takeDelta(const FlowSteering &steering, const KnownData &receiver, const Revision &asOf, const Revision &trackedFrom)
 {
     SteeringDelta delta;
     delta.asOf = asOf;
--- a/src/steering/snapshot.h
+++ b/src/steering/snapshot.h
@@ -12,7 +12,7 @@
 
 /// A host's copy of the platform's data, for a host that can't read the platform itself.
 struct SteeringSnapshot {
-    std::uint64_t asOf = 0; ///< platform revision up to which the data is complete
+    Revision asOf; ///< platform revision up to which the data is complete
     RouteConfig config;
     std::vector<UpstreamEntry> upstreams; ///< all listed upstreams
     std::vector<Endpoint> hosts; ///< control addresses of entry hosts known to the sender
@@ -23,14 +23,14 @@
 /// An upstream that the platform no longer lists.
 struct RemovedUpstream {
     std::string id;
-    std::uint64_t revision = 0; ///< platform revision of the removal
+    Revision revision; ///< platform revision of the removal
 
     friend bool operator==(const RemovedUpstream &, const RemovedUpstream &) = default;
 };
 
 /// What changed on the platform since a revision.
 struct SteeringDelta {
-    std::uint64_t asOf = 0; ///< platform revision up to which the receiver's data is complete once it applied the delta
+    Revision asOf; ///< platform revision up to which the receiver's data is complete once it applied the delta
     bool full = false; ///< upstreams contains all listed upstreams, and any other one was removed
     std::optional<RouteConfig> config; ///< set if it is newer than the receiver's
     std::vector<UpstreamEntry> upstreams; ///< added and changed upstreams
@@ -46,14 +46,14 @@
 }
 
 /// Copies this host's configuration and listed upstreams. asOf is the platform revision up to which they are complete.
-SteeringSnapshot takeSnapshot(const FlowSteering &steering, std::uint64_t asOf);
+SteeringSnapshot takeSnapshot(const FlowSteering &steering, const Revision &asOf);
 
 /// Applies everything in the snapshot that is newer than this host's data; nothing is reverted. True if something changed.
 bool applySnapshot(FlowSteering &steering, const SteeringSnapshot &snapshot, Time now);
 
 /// Up to which revision and version data is known.
 struct KnownData {
-    std::uint64_t asOf = 0; ///< platform revision; 0: nothing is known
+    Revision asOf; ///< platform revision
     std::uint64_t version = 0; ///< of the configuration
 
     friend bool operator==(const KnownData &, const KnownData &) = default;
@@ -61,7 +61,7 @@
 
 /// The changes from what a receiver knows to what this host knows up to asOf. The delta is full if this host may have forgotten a removal
 /// since then: it tracks them from the revision trackedFrom on.
-SteeringDelta takeDelta(const FlowSteering &steering, const KnownData &receiver, std::uint64_t asOf, std::uint64_t trackedFrom);
+SteeringDelta takeDelta(const FlowSteering &steering, const KnownData &receiver, const Revision &asOf, const Revision &trackedFrom);
 
 /// Applies everything in the delta that is newer than this host's data; nothing is reverted. True if something changed.
 bool applyDelta(FlowSteering &steering, const SteeringDelta &delta, Time now);
--- a/tests/entry/peer_hosts_test.cpp
+++ b/tests/entry/peer_hosts_test.cpp
@@ -40,7 +40,7 @@
     entry.address = {0x0a800000 + static_cast<std::uint32_t>(hashBytes(id) % 1000), 80};
     entry.service = "one";
     entry.zone.name = "z";
-    entry.revision = revision;
+    entry.revision = {1, revision};
     return entry;
 }
 
@@ -88,10 +88,11 @@
 
 TEST_CASE("a formatted request for a snapshot is parsed back")
 {
-    const SnapshotRequest request{42, host(3)};
+    const SnapshotRequest request{{3, 42}, host(3)};
     CHECK(parseSnapshotTarget(snapshotTarget(request)) == request);
-    CHECK(parseSnapshotTarget("/snapshot?after=1") == SnapshotRequest{1, std::nullopt});
-    for (const auto *target : {"/snapshot", "/snapshot?after=x", "/metrics", "/snapshot?after=%"}) {
+    CHECK(parseSnapshotTarget("/snapshot?after=1.2") == SnapshotRequest{{1, 2}, std::nullopt});
+    for (const auto *target : {"/snapshot", "/snapshot?after=x", "/snapshot?after=1", "/snapshot?after=1.", "/snapshot?after=.1",
+                               "/snapshot?after=1.2.3", "/metrics", "/snapshot?after=%"}) {
         CHECK_FALSE(parseSnapshotTarget(target));
     }
 }
@@ -105,7 +106,7 @@
     sender.applyConfig(config);
     sender.directory().apply(entryOf("i-1", 10), at(0s));
     sender.directory().apply(entryOf("i-2", 12), at(0s));
-    auto snapshot = takeSnapshot(sender, 12);
+    auto snapshot = takeSnapshot(sender, {1, 12});
     snapshot.hosts = {host(9)};
     FlowSteering receiver{SteeringOptions{}};
 
@@ -130,7 +131,7 @@
         applySnapshot(receiver, snapshot, at(0s));
         CHECK(receiver.routes().version() == 9);
         CHECK(receiver.directory().listedCount() == 3);
-        CHECK(receiver.directory().at(receiver.directory().findById("i-2")).entry.revision == 15);
+        CHECK(receiver.directory().at(receiver.directory().findById("i-2")).entry.revision == Revision{1, 15});
     }
     SUBCASE("removes upstreams that it does not list")
     {
@@ -141,7 +142,7 @@
     SUBCASE("does not restore an upstream that this host has removed at a later revision")
     {
         receiver.directory().apply(entryOf("i-2", 12), at(0s));
-        receiver.directory().remove("i-2", 14, at(0s));
+        receiver.directory().remove("i-2", {1, 14}, at(0s));
         applySnapshot(receiver, snapshot, at(0s));
         CHECK(receiver.directory().at(receiver.directory().findById("i-2")).presence == Presence::Removed);
     }
--- a/tests/platform/store_feed_test.cpp
+++ b/tests/platform/store_feed_test.cpp
@@ -41,8 +41,8 @@
         StoreFeedSink result;
         result.config = [this](const RouteConfig &config) { versions.push_back(config.version); };
         result.upstream = [this](const UpstreamEntry &entry) { upstreams[entry.id] = entry; };
-        result.removed = [this](const std::string &id, std::uint64_t /*revision*/) { upstreams.erase(id); };
-        result.complete = [this](const std::vector<std::string> &ids, std::uint64_t /*revision*/) {
+        result.removed = [this](const std::string &id, const Revision & /*revision*/) { upstreams.erase(id); };
+        result.complete = [this](const std::vector<std::string> &ids, const Revision & /*revision*/) {
             const std::set<std::string> named(ids.begin(), ids.end());
             std::erase_if(upstreams, [&](const auto &item) { return !named.contains(item.first); });
             ++completeReads;
@@ -113,7 +113,7 @@
         const auto known = store.put("servers/i-2", entry());
         store.setFault(StoreFault::Busy);
         Reader late(context, store.address());
-        late.feed.resumeFrom(known);
+        late.feed.resumeFrom({1, known});
         store.setFault(StoreFault::None);
         store.put("servers/i-3", entry());
         CHECK(runUntil(context, [&] { return late.upstreams.contains("i-3"); }));
@@ -209,3 +209,75 @@
     }
     reader.feed.stop();
 }
+
+TEST_CASE("a host that watches a store which returns to an older copy of its data")
+{
+    boost::asio::io_context context;
+    StandinStore store(context);
+    const auto entry = [](const std::string &state = "ready") { return standinUpstreamEntry("one", {0x0a000001, 80}, "z", state); };
+    store.put("op/config", standinConfig(4, kRoute, "one"));
+    store.put("servers/i-1", entry());
+    store.keepCopy();
+    store.put("servers/i-2", entry());
+    store.put("op/config", standinConfig(9, kRoute, "one"));
+    Reader reader(context, store.address());
+    REQUIRE(runUntil(context, [&] { return reader.completeReads == 1 && store.heldWatches() == 1; }));
+    const auto known = reader.feed.asOf();
+    store.setFault(StoreFault::Busy);
+    REQUIRE(runUntil(context, [&] { return store.heldWatches() == 0; }));
+    store.restoreCopy();
+
+    SUBCASE("does not skip what was written before its revision was given out again")
+    {
+        store.put("op/config", standinConfig(11, kRoute, "one"));
+        store.put("servers/i-3", entry());
+        SUBCASE("and no more") { }
+        SUBCASE("and after it")
+        {
+            store.put("servers/i-4", entry());
+        }
+        store.setFault(StoreFault::None);
+        CHECK(runUntil(context, [&] { return reader.completeReads == 2 && store.heldWatches() == 1; }));
+        CHECK(reader.versions.back() == 11);
+        CHECK(reader.upstreams.contains("i-3"));
+        CHECK_FALSE(reader.upstreams.contains("i-2"));
+        CHECK(reader.feed.asOf() > known);
+    }
+    SUBCASE("reads it again if the store does not have its revision yet")
+    {
+        store.setFault(StoreFault::None);
+        CHECK(runUntil(context, [&] { return reader.completeReads == 2 && store.heldWatches() == 1; }));
+        CHECK(reader.feed.asOf() > known);
+        store.put("servers/i-5", entry());
+        CHECK(runUntil(context, [&] { return reader.upstreams.contains("i-5"); }));
+    }
+    SUBCASE("reads the latest data if its stale pages come from the lost history")
+    {
+        Reader late(context, store.address());
+        store.put("servers/i-3", entry());
+        store.put("servers/i-4", entry());
+        store.serveStaleReads({{"servers/i-2", entry()}}, known.number + 7);
+        store.setFault(StoreFault::None);
+        CHECK(runUntil(context, [&] { return late.completeReads == 1; }));
+        CHECK(late.upstreams.contains("i-3"));
+        CHECK_FALSE(late.upstreams.contains("i-2"));
+        late.feed.stop();
+    }
+    SUBCASE("takes over a later era from another host, and asks the store for what follows")
+    {
+        const auto later = store.put("servers/i-3", entry());
+        reader.feed.resumeFrom({2, later});
+        store.put("servers/i-4", entry());
+        store.setFault(StoreFault::None);
+        CHECK(runUntil(context, [&] { return reader.upstreams.contains("i-4"); }));
+        CHECK(reader.completeReads == 1);
+    }
+    SUBCASE("reads everything if the era that another host told is not the store's")
+    {
+        reader.feed.resumeFrom({7, 1});
+        store.setFault(StoreFault::None);
+        CHECK(runUntil(context, [&] { return reader.completeReads == 2 && store.heldWatches() == 1; }));
+        CHECK(reader.feed.asOf().era == 2);
+    }
+    reader.feed.stop();
+}
--- a/tests/platform/store_values_test.cpp
+++ b/tests/platform/store_values_test.cpp
@@ -32,25 +32,25 @@
 
     SUBCASE("is decoded with all fields")
     {
-        const auto upstream = decodeUpstream("i-7f3a91c2", entry.dump(), 12);
+        const auto upstream = decodeUpstream("i-7f3a91c2", entry.dump(), {1, 12});
         REQUIRE(upstream);
         CHECK(upstream->number == 0x7f3a91c2);
         CHECK(upstream->address == Endpoint{0x0a800009, 8080});
         CHECK(upstream->slots == 2);
         CHECK(upstream->warmUpLeft == Duration{std::chrono::milliseconds{1500}});
         CHECK(upstream->startMs == 1790000000000);
-        CHECK(upstream->revision == 12);
+        CHECK(upstream->revision == Revision{1, 12});
         CHECK_FALSE(upstream->draining);
     }
     SUBCASE("of a draining upstream is marked as draining")
     {
         entry["state"] = "draining";
-        CHECK(decodeUpstream("i-1", entry.dump(), 1)->draining);
+        CHECK(decodeUpstream("i-1", entry.dump(), {1, 1})->draining);
     }
     SUBCASE("with unknown fields is accepted")
     {
         entry["colour"] = "blue";
-        CHECK(decodeUpstream("i-1", entry.dump(), 1));
+        CHECK(decodeUpstream("i-1", entry.dump(), {1, 1}));
     }
     SUBCASE("without a required field is rejected")
     {
@@ -58,7 +58,7 @@
             CAPTURE(key);
             auto lacking = entry;
             lacking.erase(key);
-            CHECK_FALSE(decodeUpstream("i-1", lacking.dump(), 1));
+            CHECK_FALSE(decodeUpstream("i-1", lacking.dump(), {1, 1}));
         }
     }
     SUBCASE("with an invalid field or an unknown state is rejected")
@@ -72,19 +72,19 @@
             CAPTURE(field.first);
             auto bad = entry;
             bad[field.first] = field.second;
-            CHECK_FALSE(decodeUpstream("i-1", bad.dump(), 1));
+            CHECK_FALSE(decodeUpstream("i-1", bad.dump(), {1, 1}));
         }
     }
     SUBCASE("that is not a JSON object is rejected")
     {
         for (const auto *text : {"", "{", "[]", "null", "\xff\xfe"}) {
-            CHECK_FALSE(decodeUpstream("i-1", text, 1));
+            CHECK_FALSE(decodeUpstream("i-1", text, {1, 1}));
         }
     }
     SUBCASE("under an id without a valid number is rejected")
     {
         for (const auto *id : {"", "i-", "i-xyz", "i-0", "i-11112222333344445"}) {
-            CHECK_FALSE(decodeUpstream(id, entry.dump(), 1));
+            CHECK_FALSE(decodeUpstream(id, entry.dump(), {1, 1}));
         }
     }
 }
--- a/tests/replication/follower_test.cpp
+++ b/tests/replication/follower_test.cpp
@@ -295,6 +295,59 @@
     }
 }
 
+TEST_CASE("hosts whose platform returns to an older copy of its data")
+{
+    auto fleet = settledFleet();
+    for (int change = 0; change < 20; ++change) {
+        fleet.change();
+    }
+    REQUIRE(fleet.timeUntilCurrent(kBound) < kBound);
+
+    SUBCASE("take it although its revisions are lower")
+    {
+        fleet.restore(10);
+        CHECK(fleet.timeUntilCurrent(kBound) < kBound);
+        fleet.change();
+        CHECK(fleet.timeUntilCurrent(kBound) < kBound);
+    }
+    SUBCASE("take it while the readers are killed")
+    {
+        fleet.restore(10);
+        for (int zone = 0; zone < 3; ++zone) {
+            fleet.kill(fleet.readerOf(zone));
+        }
+        CHECK(fleet.timeUntilCurrent(2 * kBound) < kBound);
+    }
+    SUBCASE("take it from each other after one was cut off through two such returns")
+    {
+        const int reader = fleet.readerOf(0);
+        const int follower = reader == 0 ? 3 : 0;
+        fleet.setCutFromHosts(follower, true);
+        fleet.setPlatform(follower, PlatformAccess::Silent);
+        fleet.restore(10);
+        fleet.run(5s);
+        fleet.change();
+        fleet.restore(1);
+        fleet.run(5s);
+        CHECK(fleet.areCurrent(follower));
+        CHECK_FALSE(fleet.isCurrent(follower));
+        fleet.setCutFromHosts(follower, false);
+        fleet.setPlatform(follower, PlatformAccess::Serves);
+        CHECK(fleet.timeUntilCurrent(2 * kBound) < kBound);
+    }
+    SUBCASE("do not bring its lost data to a host that starts")
+    {
+        fleet.setCutZone(1);
+        fleet.restore(10);
+        fleet.run(1s);
+        fleet.kill(3);
+        fleet.start(3);
+        fleet.setCutZone(-1);
+        CHECK(fleet.timeUntilCurrent(2 * kBound) < kBound);
+    }
+    CHECK(fleet.takeWorstBelief() < 100ms);
+}
+
 TEST_CASE("the intervals of readers and followers")
 {
     SUBCASE("follow from the stricter bound")
--- a/tests/replication/held_requests_test.cpp
+++ b/tests/replication/held_requests_test.cpp
@@ -15,7 +15,7 @@
 {
     FeedRequest request;
     request.number = 1;
-    request.after = revision;
+    request.after = {1, revision};
     request.version = 2;
     request.hold = hold;
     request.follow = follow;
@@ -28,7 +28,7 @@
 {
     const Time now = Time{} + 1h;
     HeldRequests held;
-    const SourceState current{{100, 2}, now - 100ms, false};
+    const SourceState current{{{1, 100}, 2}, now - 100ms, false};
 
     SUBCASE("is answered at once if there is something new")
     {
@@ -41,7 +41,7 @@
         held.add(kFollower, requestAfter(100, 1s), current, kMaxAge, now);
         CHECK(held.takeAnswerable(current, now + 500ms).empty());
         CHECK(held.nextDue() == now + 1s);
-        CHECK(held.takeAnswerable({{100, 2}, now + 600ms, false}, now + 600ms).size() == 1);
+        CHECK(held.takeAnswerable({{{1, 100}, 2}, now + 600ms, false}, now + 600ms).size() == 1);
     }
     SUBCASE("is answered when it is due, even without news")
     {
@@ -51,16 +51,16 @@
     SUBCASE("is answered at once when the platform fails, so that the follower looks for another source")
     {
         held.add(kFollower, requestAfter(100, 1s), current, kMaxAge, now);
-        CHECK(held.takeAnswerable({{100, 2}, now - 100ms, true}, now + 10ms).size() == 1);
+        CHECK(held.takeAnswerable({{{1, 100}, 2}, now - 100ms, true}, now + 10ms).size() == 1);
     }
     SUBCASE("to a host with old data waits for the platform's first response, but not for long")
     {
-        const SourceState old{{100, 2}, now - 10s, false};
+        const SourceState old{{{1, 100}, 2}, now - 10s, false};
         held.add(kFollower, requestAfter(90, 0s), old, kMaxAge, now);
         CHECK(held.takeAnswerable(old, now + 50ms).empty());
         SUBCASE("which comes")
         {
-            CHECK(held.takeAnswerable({{101, 2}, now + 60ms, false}, now + 60ms).size() == 1);
+            CHECK(held.takeAnswerable({{{1, 101}, 2}, now + 60ms, false}, now + 60ms).size() == 1);
         }
         SUBCASE("which does not come")
         {
--- /dev/null
+++ b/tests/replication/message_test.cpp
@@ -0,0 +1,41 @@
+#include "peering/codec.h"
+#include "replication/message.h"
+
+#include <doctest/doctest.h>
+
+using namespace medlarway;
+
+namespace
+{
+
+// The first fields of a request and a reply as a release without eras sends them.
+struct RequestWithoutEra {
+    std::uint32_t number = 0;
+    std::uint64_t after = 0;
+};
+
+struct ReplyWithoutEra {
+    std::uint32_t number = 0;
+    Duration held{};
+    std::uint64_t asOf = 0;
+};
+
+} // namespace
+
+TEST_CASE("a message between a host and one of a release without eras")
+{
+    SUBCASE("is not taken for data of an era by the later release")
+    {
+        CHECK_THROWS_AS(decodeMessage<FeedRequest>(encodeMessage(RequestWithoutEra{1, 47})), Error);
+        CHECK_THROWS_AS(decodeMessage<FeedReply>(encodeMessage(ReplyWithoutEra{1, {}, 47})), Error);
+    }
+    SUBCASE("is not taken for a revision number by the earlier one")
+    {
+        FeedRequest request;
+        request.after = {2, 47};
+        CHECK_THROWS_AS(decodeMessage<RequestWithoutEra>(encodeMessage(request)), Error);
+        FeedReply reply;
+        reply.asOf = {2, 47};
+        CHECK_THROWS_AS(decodeMessage<ReplyWithoutEra>(encodeMessage(reply)), Error);
+    }
+}
--- a/tests/replication/replication_fleet.cpp
+++ b/tests/replication/replication_fleet.cpp
@@ -105,9 +105,7 @@
 void ReplicationFleet::step()
 {
     now_ += kStep;
-    while (changedAt_.size() <= revision_) {
-        changedAt_.push_back(now_);
-    }
+    changedAt_.emplace(revision_, now_);
     for (auto &message : std::exchange(underway_, {})) {
         auto &to = at(numberOf(message.to));
         if (message.at > now_) {
@@ -150,7 +148,7 @@
     }
     // What the host believes to be confirmed lacks the change after the last one that it has.
     if (host.follower->confirmedAt() != Time{} && host.known.asOf < revision_) {
-        worstBelief_ = std::max(worstBelief_, host.follower->confirmedAt() - changedAt_[host.known.asOf + 1]);
+        worstBelief_ = std::max(worstBelief_, host.follower->confirmedAt() - changedAt_.upper_bound(host.known.asOf)->second);
     }
 }
 
--- a/tests/replication/replication_fleet.h
+++ b/tests/replication/replication_fleet.h
@@ -3,6 +3,7 @@
 #include "replication/follower.h"
 #include "replication/held_requests.h"
 
+#include <map>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -38,7 +39,13 @@
     /// Changes the platform's data.
     void change()
     {
-        ++revision_;
+        ++revision_.number;
+    }
+
+    /// Returns the platform to its data of a number of changes ago.
+    void restore(std::uint64_t lostChanges)
+    {
+        revision_ = {revision_.era + 1, revision_.number - lostChanges};
     }
 
     /// Starts a host without data, or ends it.
@@ -160,10 +167,10 @@
     ReplicationTiming timing_;
     Random random_;
     Time now_;
-    std::uint64_t revision_ = 1;
+    Revision revision_{1, 1};
     std::vector<Host> hosts_;
     std::vector<Message> underway_;
-    std::vector<Time> changedAt_; ///< by revision
+    std::map<Revision, Time> changedAt_;
     int cutZone_ = -1;
     int calls_ = 0;
     Duration worstBelief_{};
--- a/tests/steering/delta_test.cpp
+++ b/tests/steering/delta_test.cpp
@@ -21,7 +21,7 @@
     entry.service = "one";
     entry.zone.name = "z";
     entry.startMs = revision;
-    entry.revision = revision;
+    entry.revision = {1, revision};
     return entry;
 }
 
@@ -57,7 +57,7 @@
 
     SUBCASE("to a host without data is full")
     {
-        const auto delta = takeDelta(source, {}, 20, 5);
+        const auto delta = takeDelta(source, {}, {1, 20}, {1, 5});
         CHECK(delta.full);
         CHECK(applyDelta(receiver, delta, now));
         CHECK(listedIds(receiver) == std::set<std::string>{"i-1", "i-2"});
@@ -65,53 +65,53 @@
     }
     SUBCASE("contains only what the receiver lacks")
     {
-        applyDelta(receiver, takeDelta(source, {}, 20, 5), now);
+        applyDelta(receiver, takeDelta(source, {}, {1, 20}, {1, 5}), now);
         source.directory().apply(entryOf("i-3", 3, 30), now);
-        source.directory().remove("i-1", 31, now);
-        const auto delta = takeDelta(source, {20, 3}, 31, 5);
+        source.directory().remove("i-1", {1, 31}, now);
+        const auto delta = takeDelta(source, {{1, 20}, 3}, {1, 31}, {1, 5});
         CHECK_FALSE(delta.full);
         CHECK_FALSE(delta.config.has_value());
         CHECK(delta.upstreams.size() == 1);
-        CHECK(delta.removed == std::vector<RemovedUpstream>{{"i-1", 31}});
+        CHECK(delta.removed == std::vector<RemovedUpstream>{{"i-1", {1, 31}}});
         CHECK(applyDelta(receiver, delta, now));
         CHECK(listedIds(receiver) == std::set<std::string>{"i-2", "i-3"});
     }
     SUBCASE("contains the removals that a complete read implied")
     {
-        applyDelta(receiver, takeDelta(source, {}, 20, 5), now);
+        applyDelta(receiver, takeDelta(source, {}, {1, 20}, {1, 5}), now);
         const std::vector<std::string> ids{"i-2"};
-        source.directory().removeUnlisted(ids, 40, now);
-        applyDelta(receiver, takeDelta(source, {20, 3}, 40, 5), now);
+        source.directory().removeUnlisted(ids, {1, 40}, now);
+        applyDelta(receiver, takeDelta(source, {{1, 20}, 3}, {1, 40}, {1, 5}), now);
         CHECK(listedIds(receiver) == std::set<std::string>{"i-2"});
     }
     SUBCASE("is full for a receiver from before the source knew of all removals")
     {
-        CHECK(takeDelta(source, {4, 3}, 20, 5).full);
-        CHECK_FALSE(takeDelta(source, {5, 3}, 20, 5).full);
+        CHECK(takeDelta(source, {{1, 4}, 3}, {1, 20}, {1, 5}).full);
+        CHECK_FALSE(takeDelta(source, {{1, 5}, 3}, {1, 20}, {1, 5}).full);
     }
     SUBCASE("is full for a receiver that may have missed a removal which the source has forgotten")
     {
-        source.directory().remove("i-1", 31, now);
+        source.directory().remove("i-1", {1, 31}, now);
         source.directory().expire(now + kTombstoneDuration + 1s);
-        CHECK(takeDelta(source, {30, 3}, 50, 5).full);
-        CHECK_FALSE(takeDelta(source, {31, 3}, 50, 5).full);
+        CHECK(takeDelta(source, {{1, 30}, 3}, {1, 50}, {1, 5}).full);
+        CHECK_FALSE(takeDelta(source, {{1, 31}, 3}, {1, 50}, {1, 5}).full);
     }
     SUBCASE("that is older than the receiver's data changes nothing")
     {
-        const auto old = takeDelta(source, {}, 20, 5);
+        const auto old = takeDelta(source, {}, {1, 20}, {1, 5});
         applyDelta(receiver, old, now);
         receiver.applyConfig(configOf(9));
         receiver.directory().apply(entryOf("i-4", 4, 50), now);
-        receiver.directory().remove("i-2", 51, now);
+        receiver.directory().remove("i-2", {1, 51}, now);
         CHECK_FALSE(applyDelta(receiver, old, now));
         CHECK(listedIds(receiver) == std::set<std::string>{"i-1", "i-4"});
         CHECK(receiver.routes().version() == 9);
     }
     SUBCASE("says that an upstream whose address was taken over is gone")
     {
-        applyDelta(receiver, takeDelta(source, {}, 20, 5), now);
+        applyDelta(receiver, takeDelta(source, {}, {1, 20}, {1, 5}), now);
         source.directory().apply(entryOf("i-5", 1, 60), now);
-        const auto delta = takeDelta(source, {20, 3}, 60, 5);
+        const auto delta = takeDelta(source, {{1, 20}, 3}, {1, 60}, {1, 5});
         applyDelta(receiver, delta, now);
         CHECK(listedIds(receiver) == listedIds(source));
     }
@@ -136,10 +136,10 @@
                     platform[id] = revision;
                     source.directory().apply(entryOf(id, static_cast<std::uint32_t>(std::stoi(id.substr(2))), revision), now);
                 } else if (platform.erase(id) > 0) {
-                    source.directory().remove(id, revision, now);
+                    source.directory().remove(id, {1, revision}, now);
                 }
                 if (*rc::gen::inRange(0, 4) == 0) {
-                    applyDelta(receiver, takeDelta(source, {received, 0}, revision, 1), now);
+                    applyDelta(receiver, takeDelta(source, {{1, received}, 0}, {1, revision}, {1, 1}), now);
                     received = revision;
                     std::set<std::string> expected;
                     for (const auto &[listed, at] : platform) {
--- a/tests/steering/flow_placement_test.cpp
+++ b/tests/steering/flow_placement_test.cpp
@@ -76,7 +76,7 @@
         for (const auto *id : {"i-1", "i-2"}) {
             auto entry = directory.at(directory.findById(id)).entry;
             entry.draining = true;
-            entry.revision = 2;
+            entry.revision = {1, 2};
             directory.apply(entry, at(0s));
         }
         CHECK(drawMany(directory, request)[2] == 1000);
--- a/tests/steering/flow_steering_test.cpp
+++ b/tests/steering/flow_steering_test.cpp
@@ -213,7 +213,7 @@
     }
     SUBCASE("that is no longer listed")
     {
-        directory.remove("i-1", 2, at(1s));
+        directory.remove("i-1", {1, 2}, at(1s));
         SUBCASE("keeps a flow that makes progress")
         {
             CHECK(steering.onPacket(client.acknowledgeResponse(), at(1s)).action == SteeringAction::Forward);
@@ -325,7 +325,7 @@
     }
     SUBCASE("still gets flows if every other upstream is suspected too")
     {
-        directory.remove("i-2", 2, at(100ms));
+        directory.remove("i-2", {1, 2}, at(100ms));
         stallAll(3, 300ms);
         CHECK(steering.onPacket(Client(50).syn(), at(300ms)).upstream == 0);
     }
--- a/tests/steering/steering_fixture.h
+++ b/tests/steering/steering_fixture.h
@@ -31,7 +31,7 @@
     entry.zone.name = zone;
     entry.slots = 2;
     entry.startMs = 1000;
-    entry.revision = revision;
+    entry.revision = {1, revision};
     return entry;
 }
 
