--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -11,7 +11,6 @@
 #include "platform/readiness.h"
 #include "yaml/fault.h"
 
-#include <algorithm>
 #include <csignal>
 #include <exception>
 #include <fmt/format.h>
@@ -98,6 +97,7 @@
     , signals_(context_, SIGTERM, SIGINT, SIGHUP)
     , ticker_(context_)
     , steering_(steeringOptions(settings))
+    , data_(steering_)
     , packets_(context_, settings.packets, [this](auto datagrams, auto &outgoing) { onBatch(datagrams, outgoing); })
     , feed_(context_, feedOptions(settings), feedSink())
     , prober_(context_)
@@ -268,18 +268,12 @@
 StoreFeedSink EntryHost::feedSink()
 {
     StoreFeedSink sink;
-    sink.config = [this](const RouteConfig &config) { applyConfig(config); };
-    sink.upstream = [this](const UpstreamEntry &entry) { steering_.directory().apply(entry, monotonicNow()); };
-    sink.removed = [this](const std::string &id, const Revision &revision) { removeUpstream(id, revision); };
-    sink.complete = [this](const std::vector<std::string> &ids, const Revision &revision) {
-        const auto removed = steering_.directory().removeUnlisted(ids, revision, monotonicNow());
-        upstreamsLoaded_ = true;
-        trackedFrom_ = revision;
-        logEvent(Event::CatalogueAccepted,
-                 {field("upstreams", ids.size()), field("removed", removed), field("revision", revisionToString(revision))});
-    };
+    sink.config = [this](const RouteConfig &config) { data_.applyConfig(config); };
+    sink.upstream = [this](const UpstreamEntry &entry) { data_.applyUpstream(entry); };
+    sink.removed = [this](const std::string &id, const Revision &revision) { data_.removeUpstream(id, revision); };
+    sink.complete = [this](const std::vector<std::string> &ids, const Revision &revision) { data_.completeRead(ids, revision); };
     sink.confirmed = [this] {
-        knownRevision_ = std::max(knownRevision_, feed_.asOf());
+        data_.confirmUpTo(feed_.asOf());
         peerFeed_.onPlatformConfirmed(feed_.lastResponseAt());
     };
     sink.failed = [this] { peerFeed_.onPlatformFailed(); };
@@ -289,33 +283,18 @@
 PeerFeedCallbacks EntryHost::peerFeedCallbacks()
 {
     PeerFeedCallbacks callbacks;
-    callbacks.known = [this] { return known(); };
+    callbacks.known = [this] { return data_.known(); };
     callbacks.urgent = [this] { return urgent_; };
-    callbacks.makeDelta = [this](const KnownData &receiver) { return takeDelta(steering_, receiver, knownRevision_, trackedFrom_); };
-    callbacks.apply = [this](const SteeringDelta &delta, HostId from) { applyPeerDelta(delta, from); };
+    callbacks.makeDelta = [this](const KnownData &receiver) { return data_.deltaFor(receiver); };
+    callbacks.apply = [this](const SteeringDelta &delta, HostId from) {
+        data_.applyDelta(delta, endpointOf(from));
+        feed_.resumeFrom(delta.asOf);
+    };
     callbacks.readReasonChanged = [this](ReadReason reason) { onReadReason(reason); };
     callbacks.beforeUse = [this] { checkForPause(); };
     return callbacks;
 }
 
-void EntryHost::applyPeerDelta(const SteeringDelta &delta, HostId from)
-{
-    const auto versionBefore = steering_.routes().version();
-    const bool changed = applyDelta(steering_, delta, monotonicNow());
-    if (delta.full && delta.asOf > knownRevision_) {
-        trackedFrom_ = delta.asOf;
-    }
-    knownRevision_ = std::max(knownRevision_, delta.asOf);
-    upstreamsLoaded_ = true;
-    feed_.resumeFrom(delta.asOf);
-    if (changed) {
-        logEvent(Event::PeerSnapshotTaken,
-                 {field("peer", endpointToString(endpointOf(from))), field("revision", revisionToString(delta.asOf)),
-                  field("version", steering_.routes().version()), field("before", versionBefore),
-                  field("upstreams", delta.upstreams.size()), field("removed", delta.removed.size())});
-    }
-}
-
 void EntryHost::onReadReason(ReadReason reason)
 {
     feed_.setReading(reason != ReadReason::None);
@@ -337,27 +316,9 @@
     feed_.setPace(storePace(timing_, urgent_, peerFeed_.follower().knownZoneHosts() <= 1));
 }
 
-void EntryHost::applyConfig(const RouteConfig &config)
-{
-    const auto before = steering_.routes().version();
-    if (steering_.applyConfig(config)) {
-        logEvent(Event::CatalogueAccepted,
-                 {field("version", config.version), field("before", before), field("routes", config.routes.size())});
-    } else if (config.version < before) {
-        logEvent(Event::CatalogueStale, {field("version", config.version), field("in-force", before)});
-    }
-}
-
-void EntryHost::removeUpstream(const std::string &id, const Revision &revision)
-{
-    if (steering_.directory().remove(id, revision, monotonicNow())) {
-        logEvent(Event::UpstreamGone, {field("upstream", id), field("revision", revisionToString(revision))});
-    }
-}
-
 bool EntryHost::ready() const
 {
-    return !stopping_ && upstreamsLoaded_ && steering_.routes().version() > 0;
+    return !stopping_ && data_.isComplete();
 }
 
 EntryStatus EntryHost::status() const
@@ -370,7 +331,7 @@
     status.storeReachable = feed_.reachable();
     status.lastStoreResponse = feed_.lastResponseAt();
     status.storeRevision = feed_.asOf();
-    status.knownRevision = knownRevision_;
+    status.knownRevision = data_.upTo();
     status.confirmedAt = peerFeed_.follower().confirmedAt();
     status.source = peerFeed_.follower().source();
     status.self = hostIdOf(settings_.peers);
@@ -414,29 +375,14 @@
 {
     PeerSnapshotPoller::Callbacks callbacks;
     callbacks.needed = [this] { return monotonicNow() - peerFeed_.follower().confirmedAt() > timing_.maxAge && !feed_.reachable(); };
-    callbacks.knownRevision = [this] { return knownRevision_; };
-    callbacks.apply = [this](const SteeringSnapshot &snapshot, const Endpoint &from) { applyPeerSnapshot(snapshot, from); };
+    callbacks.knownRevision = [this] { return data_.upTo(); };
+    callbacks.apply = [this](const SteeringSnapshot &snapshot, const Endpoint &from) {
+        data_.applySnapshot(snapshot, from);
+        feed_.resumeFrom(snapshot.asOf);
+    };
     return callbacks;
 }
 
-KnownData EntryHost::known() const
-{
-    return {knownRevision_, steering_.routes().version()};
-}
-
-void EntryHost::applyPeerSnapshot(const SteeringSnapshot &snapshot, const Endpoint &from)
-{
-    const bool changed = applySnapshot(steering_, snapshot, monotonicNow());
-    trackedFrom_ = std::max(trackedFrom_, snapshot.asOf);
-    knownRevision_ = std::max(knownRevision_, snapshot.asOf);
-    upstreamsLoaded_ = true;
-    feed_.resumeFrom(snapshot.asOf);
-    if (changed) {
-        logEvent(Event::PeerSnapshotTaken, {field("peer", endpointToString(from)), field("revision", revisionToString(snapshot.asOf)),
-                                            field("version", snapshot.config.version), field("upstreams", snapshot.upstreams.size())});
-    }
-}
-
 // Without newer data the response is empty. Data received from a peer is passed on, as a whole zone may be cut off from the platform and
 // get it only through the peers of one host.
 PageResponse EntryHost::serveSnapshot(const SnapshotRequest &request)
@@ -444,10 +390,10 @@
     if (request.from) {
         peerHosts_.recordContact(*request.from, monotonicNow());
     }
-    if (!upstreamsLoaded_ || steering_.routes().version() == 0 || knownRevision_ <= request.after) {
+    if (!data_.isComplete() || data_.upTo() <= request.after) {
         return {kStatusNoContent, "application/cbor", ""};
     }
-    auto snapshot = takeSnapshot(steering_, knownRevision_);
+    auto snapshot = takeSnapshot(steering_, data_.upTo());
     snapshot.hosts = peerHosts_.recent(monotonicNow());
     return {kStatusOk, "application/cbor", encodeMessage(snapshot)};
 }
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -6,6 +6,7 @@
 #include "entry/peer_feed.h"
 #include "entry/peer_hosts.h"
 #include "entry/peer_snapshots.h"
+#include "entry/platform_data.h"
 #include "entry/upstream_probe.h"
 #include "pages/page_server.h"
 #include "platform/packet_layout.h"
@@ -43,8 +44,6 @@
     void startStop(int signal);
     bool canExit(Time now) const;
     bool ready() const;
-    void applyConfig(const RouteConfig &config);
-    void removeUpstream(const std::string &id, const Revision &revision);
     void checkForPause();
     void updateFreshness();
     void handleLivenessEvents();
@@ -52,13 +51,10 @@
     void resetFlowsOf(UpstreamIndex index);
     StoreFeedSink feedSink();
     PeerFeedCallbacks peerFeedCallbacks();
-    void applyPeerDelta(const SteeringDelta &delta, HostId from);
     void onReadReason(ReadReason reason);
     void updatePace();
     ReadUrgency urgency() const;
     PeerSnapshotPoller::Callbacks snapshotCallbacks();
-    void applyPeerSnapshot(const SteeringSnapshot &snapshot, const Endpoint &from);
-    KnownData known() const;
     PageResponse serveSnapshot(const SnapshotRequest &request);
     EntryStatus status() const;
     PageResponse serveReady(const std::string &target) const;
@@ -71,6 +67,7 @@
     boost::asio::signal_set signals_;
     boost::asio::steady_timer ticker_;
     FlowSteering steering_;
+    PlatformData data_;
     PacketSocket packets_;
     StoreFeed feed_;
     UpstreamProber prober_;
@@ -80,9 +77,6 @@
     PageServer readyServer_;
     PageServer controlServer_;
     std::vector<PacketHeader> resets_; ///< resets to send for the current batch
-    bool upstreamsLoaded_ = false; ///< a complete list was received from the platform or a peer
-    Revision knownRevision_; ///< platform revision up to which the data is complete
-    Revision trackedFrom_; ///< revision from which on all removals are known
     std::uint64_t routeUnknownCount_ = 0; ///< packets without a known route at the last tick
     bool routeUnknown_ = false; ///< such packets came since
     bool urgent_ = false; ///< callers of this host or of a follower wait for a change of the platform
--- a/src/steering/snapshot.cpp
+++ b/src/steering/snapshot.cpp
@@ -18,9 +18,14 @@
     return snapshot;
 }
 
+SteeringDelta fullDelta(const SteeringSnapshot &snapshot)
+{
+    return {snapshot.asOf, true, snapshot.config, snapshot.upstreams, {}};
+}
+
 bool applySnapshot(FlowSteering &steering, const SteeringSnapshot &snapshot, Time now)
 {
-    return applyDelta(steering, {snapshot.asOf, true, snapshot.config, snapshot.upstreams, {}}, now);
+    return applyDelta(steering, fullDelta(snapshot), now);
 }
 
 // An upstream whose address was taken over is reported as removed: the receiver may not know the one that took it.
--- a/src/steering/snapshot.h
+++ b/src/steering/snapshot.h
@@ -48,6 +48,9 @@
 /// Copies this host's configuration and listed upstreams. asOf is the platform revision up to which they are complete.
 SteeringSnapshot takeSnapshot(const FlowSteering &steering, const Revision &asOf);
 
+/// The snapshot as a delta for a host that knows nothing.
+SteeringDelta fullDelta(const SteeringSnapshot &snapshot);
+
 /// Applies everything in the snapshot that is newer than this host's data; nothing is reverted. True if something changed.
 bool applySnapshot(FlowSteering &steering, const SteeringSnapshot &snapshot, Time now);
 
