platform: the catalogue's source reads its items again when the store returns to an older copy

A watch goes on from a revision that the new history may have passed, so a change that was written before it is skipped, and the proxy keeps an older catalogue until the next one. Change: the first response of a later era leads to a read of the item (306 names the key). Test: sources_test "is not skipped if the store returned to an older copy" failed before, passes now. Open: the catalogue's revisions are plain numbers between hosts too; an item that is written again under a lower revision than the lost one is refused (212) until the numbers have passed it.

--- a/src/platform/store_source.cpp
+++ b/src/platform/store_source.cpp
@@ -42,6 +42,7 @@
     std::string key;
     std::uint64_t revision; ///< highest revision read here or passed by setWatchedKeys()
     std::uint64_t asOf; ///< store revision after which changes are watched for; 0: the item must be read first
+    std::uint64_t era = 0; ///< of the store's data when asOf was read; 0 before the first response
     bool active = true;
     std::uint32_t failures = 0; ///< consecutive failures
     std::string refusal; ///< why the latest value was refused; empty if it was valid
@@ -81,6 +82,7 @@
     asio::awaitable<void> run(Watch watch);
     asio::awaitable<void> deliver(Watch watch);
     asio::awaitable<StoreResult> read(Watch watch);
+    static bool startsEra(KeyWatch &watch, const StoreResult &result);
     Duration processResult(KeyWatch &watch, const StoreResult &result, Duration elapsed);
     Duration processItem(KeyWatch &watch, ParsedItem item);
     Duration recordFailure(KeyWatch &watch, ErrorKind kind, const std::string &detail);
@@ -184,11 +186,27 @@
     co_return co_await watch->client.watch(watch->key, watch->asOf, wait, timeout);
 }
 
+// Whether the result shows that the store returned to an older copy of its data. Changes may then have been given revisions that the watch
+// has passed already.
+bool StoreSource::startsEra(KeyWatch &watch, const StoreResult &result)
+{
+    if (result.era <= watch.era) {
+        return false;
+    }
+    const auto before = std::exchange(watch.era, result.era);
+    if (before == 0) {
+        return false;
+    }
+    logEvent(Event::PlatformRestored,
+             {field("key", watch.key), field("era", result.era), field("before", before), field("revision-before", watch.asOf)});
+    return true;
+}
+
 // Processes the result of a call and returns the delay before the next call for the key.
 Duration StoreSource::processResult(KeyWatch &watch, const StoreResult &result, Duration elapsed)
 {
-    // Step 1. Failed calls. An expired history is no failure: the item is read instead.
-    if (result.status == kStatusHistoryExpired && watch.asOf != 0) {
+    // Step 1. Failed calls. An expired or lost history is no failure: the item is read instead.
+    if ((startsEra(watch, result) || result.status == kStatusHistoryExpired) && watch.asOf != 0) {
         watch.asOf = 0;
         return options_.readInterval;
     }
--- a/tests/platform/sources_test.cpp
+++ b/tests/platform/sources_test.cpp
@@ -158,6 +158,23 @@
         const auto second = store.put("catalogue/one", shardText("two"));
         CHECK(runUntil(context, [&] { return received.lastRevision() == second; }));
     }
+    SUBCASE("is not skipped if the store returned to an older copy and its revisions have passed the watch's")
+    {
+        store.keepCopy();
+        store.put("catalogue/other", shardText("one"));
+        store.put("catalogue/one-more", shardText("one"));
+        REQUIRE(runUntil(context, [&] { return store.heldWatches() == 1; }));
+        const auto calls = store.calls();
+        REQUIRE(runUntil(context, [&] { return store.calls() > calls && store.heldWatches() == 1; }));
+        store.setFault(StoreFault::Reset);
+        REQUIRE(runUntil(context, [&] { return store.heldWatches() == 0; }));
+        store.restoreCopy();
+        const auto written = store.put("catalogue/one", shardText("two"));
+        store.put("catalogue/other", shardText("two"));
+        store.put("catalogue/other", shardText("three"));
+        store.setFault(StoreFault::None);
+        CHECK(runUntil(context, [&] { return received.lastRevision() == written; }));
+    }
     SUBCASE("keeps the last valid version if the new one is invalid or the key is removed")
     {
         const auto refused = counterValue(Counter::CatalogueRefused);
