soak: the store returns to older copies of its data

Cause: the incident of such a store was missed as no fault of the soak loses what the store has acknowledged. Change: with SoakOptions::storeReturns the store keeps a copy, goes away up to 3 s later and returns with it; the operator and the upstreams write again 0.3 s after its return.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -15,9 +15,9 @@
 using namespace std::chrono_literals;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(FaultKind::Count)> kNames{
-    "stop",         "reload",    "change",        "replace",      "kill",         "kill-all",     "pause",
-    "crash",        "reuse",     "restart",       "store-busy",   "store-silent", "store-resets", "store-slow",
-    "history-gone", "store-cut", "store-one-way", "store-broken", "store-frozen", "zone-cut",     "loss",
+    "stop",          "reload",       "change",       "replace",      "kill",         "kill-all",      "pause",        "crash",
+    "reuse",         "restart",      "store-busy",   "store-silent", "store-resets", "store-slow",    "history-gone", "store-cut",
+    "store-one-way", "store-broken", "store-frozen", "zone-cut",     "loss",         "store-returns",
 };
 
 constexpr Duration kEarliestFault = 500ms;
@@ -44,7 +44,7 @@
     for (int series = 0; series < kSeries; ++series) {
         auto at = kEarliestFault + between(random, 0s, 2s);
         while (at < options.length) {
-            const auto kind = static_cast<FaultKind>(random.below(static_cast<std::uint64_t>(FaultKind::Count)));
+            const auto kind = static_cast<FaultKind>(random.below(static_cast<std::uint64_t>(FaultKind::StoreReturns)));
             const auto times = kind == FaultKind::KillAll ? 1 : 1 + random.below(kMaxSeriesLength);
             const auto gap = between(random, 100ms, 1200ms);
             for (std::uint64_t step = 0; step < times && at < options.length; ++step) {
@@ -54,6 +54,11 @@
             at += between(random, 200ms, 2500ms);
         }
     }
+    if (options.storeReturns) {
+        for (auto at = between(random, 1s, 3s); at < options.length; at += between(random, 3s, 5s)) {
+            faults.push_back({at, FaultKind::StoreReturns, random(), between(random, 300ms, 3s)});
+        }
+    }
     std::stable_sort(faults.begin(), faults.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return faults;
 }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -18,6 +18,7 @@
     int upstreamsOfTwo = 3; ///< upstreams of service "two"
     int callers = 12;
     Duration length = std::chrono::seconds{12};
+    bool storeReturns = false; ///< the store returns to older copies of its data, beside the other faults
 };
 
 /// Planned work on the system, and faults that are injected into it.
@@ -45,6 +46,7 @@
     StoreFrozen, ///< nothing passes any more on one host's existing connections to the store; new ones work
     ZoneCut, ///< packets from one zone's hosts to the other zones' upstreams are lost
     Loss, ///< one packet in five to upstreams is lost
+    StoreReturns, ///< the store loses what is written from now on until it returns; drawn only with SoakOptions::storeReturns
     Count,
 };
 
--- a/tests/soak/platform.cpp
+++ b/tests/soak/platform.cpp
@@ -100,6 +100,32 @@
     runOnThread([&] { store_.dropHistory(); });
 }
 
+void SoakPlatform::keepStoreCopy()
+{
+    runOnThread([&] { store_.keepCopy(); });
+}
+
+void SoakPlatform::restoreStoreCopy()
+{
+    runOnThread([&] { store_.restoreCopy(); });
+}
+
+// The copy may also list upstreams that have gone since; their entries expire.
+void SoakPlatform::writeAgain()
+{
+    const auto version = config().first;
+    const std::lock_guard lock(mutex_);
+    const auto text = standinConfig(version, routes_);
+    runOnThread([&] { store_.put("op/config", text); });
+    for (auto &[id, upstream] : upstreams_) {
+        if (upstream.listed) {
+            publish(id, upstream);
+        } else {
+            runOnThread([&, key = "servers/" + id] { store_.remove(key); });
+        }
+    }
+}
+
 void SoakPlatform::setPath(int host, StorePath path)
 {
     runOnThread([&] { linkOf(host).set(path); });
@@ -203,8 +229,9 @@
     publish(id, upstream);
 }
 
-void SoakPlatform::publish(const std::string &id, const Upstream &upstream)
+void SoakPlatform::publish(const std::string &id, Upstream &upstream)
 {
+    upstream.listed = true;
     const auto text = standinUpstreamEntry(upstream.service, upstream.link->address(), upstream.zone,
                                            upstream.draining ? "draining" : "ready", upstream.born);
     runOnThread([&] { store_.put("servers/" + id, text); });
@@ -230,6 +257,8 @@
 
 void SoakPlatform::delist(const std::string &id)
 {
+    const std::lock_guard lock(mutex_);
+    upstreams_.at(id).listed = false;
     runOnThread([&] { store_.remove("servers/" + id); });
 }
 
--- a/tests/soak/platform.h
+++ b/tests/soak/platform.h
@@ -49,6 +49,13 @@
     void setStoreFault(StoreFault fault);
     void setStoreDelay(std::chrono::milliseconds delay);
     void dropHistory();
+
+    /// Remembers the store's contents; lets the store return to them; and writes everything again that the operator and the upstreams
+    /// wrote.
+    void keepStoreCopy();
+    void restoreStoreCopy();
+    void writeAgain();
+
     void setPath(int host, StorePath path);
     void resetPath(int host);
     void freezePath(int host);
@@ -99,6 +106,7 @@
         std::shared_ptr<UpstreamLink> link;
         std::unique_ptr<StandinPacketUpstream> process; ///< null after the upstream has terminated
         bool draining = false;
+        bool listed = false; ///< it has an entry in the store
         Time drainPublishedAt; ///< when the draining state was written to the store
     };
 
@@ -111,7 +119,7 @@
 
     std::string addUpstream(const std::string &service, const std::string &zone, const std::shared_ptr<UpstreamLink> &link);
     void startProcess(const std::string &id, Upstream &upstream);
-    void publish(const std::string &id, const Upstream &upstream);
+    void publish(const std::string &id, Upstream &upstream);
     bool filterPacket(const std::shared_ptr<UpstreamLink> &link, std::uint32_t sender, std::span<const std::uint8_t> datagram);
     void checkPacket(const std::string &id, const Upstream &upstream, int host, std::span<const std::uint8_t> datagram);
     void putConfig();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -23,6 +23,8 @@
 constexpr auto kReplacementDelay = 500ms; // from the crash of an upstream until its replacement starts
 constexpr auto kRecovery = 12s; // limit of the requirements
 constexpr auto kSlowStore = 150ms;
+constexpr auto kStoreAway = 800ms; // before the store returns with an older copy of its data
+constexpr auto kRewriteDelay = 300ms; // from its return until the operator and the upstreams have written again
 
 // Injects faults and runs their delayed consequences.
 class Injector
@@ -56,6 +58,7 @@
     void schedule(Duration delay, std::function<void()> action);
     void injectFor(const std::string &subject, Duration duration, const std::function<void()> &begin, std::function<void()> end);
     void injectStoreFault(const Fault &fault, StoreFault kind);
+    void returnStore(const Fault &fault);
     void path(const Fault &fault, StorePath path);
     void applyToPath(const Fault &fault, void (SoakPlatform::*action)(int host));
     void replaceUpstream(const Fault &fault);
@@ -153,6 +156,8 @@
             kStoreSubject, fault.duration, [this] { platform_.setStoreDelay(kSlowStore); }, [this] { platform_.setStoreDelay(0ms); });
     case FaultKind::HistoryGone:
         return platform_.dropHistory();
+    case FaultKind::StoreReturns:
+        return returnStore(fault);
     case FaultKind::StoreCut:
         return path(fault, StorePath::Silent);
     case FaultKind::StoreOneWay:
@@ -182,6 +187,17 @@
         });
 }
 
+// The fault's duration is the time whose changes are lost.
+void Injector::returnStore(const Fault &fault)
+{
+    platform_.keepStoreCopy();
+    schedule(fault.duration, [this, fault] {
+        injectStoreFault({fault.at, fault.kind, fault.selector, kStoreAway}, StoreFault::Reset);
+        schedule(kStoreAway / 2, [this] { platform_.restoreStoreCopy(); });
+        schedule(kStoreAway + kRewriteDelay, [this] { platform_.writeAgain(); });
+    });
+}
+
 void Injector::path(const Fault &fault, StorePath path)
 {
     const auto host = hostOf(fault);
