--- a/src/entry/peer_feed.cpp
+++ b/src/entry/peer_feed.cpp
@@ -305,7 +305,7 @@
     if (page_.delta.empty() || page_.receiver != receiver || page_.known != known) {
         page_ = CachedPage{receiver, known, encodeMessage(callbacks_.makeDelta(receiver))};
     }
-    const auto priority = !isKnown(receiver.asOf) ? MessagePriority::Normal : MessagePriority::High;
+    const auto priority = isKnown(receiver.asOf) ? MessagePriority::High : MessagePriority::Normal;
     if (!pageBudget_.take(std::min<std::size_t>(page_.delta.size(), kMaxChargedBytes), priority, monotonicNow())) {
         return PageResponse{kStatusUnavailable, "application/cbor", ""};
     }
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -74,7 +74,7 @@
 /// How long a delisted upstream can still be found by its token. Exceeds the longest time that clients keep a flow.
 inline constexpr Duration kTombstoneDuration = std::chrono::seconds{75};
 
-/// How long an upstream may take to register again after the platform returned to an older copy of its data. The platform's page says two
+/// How long an upstream may take to register again after the platform returned to an older copy of its data: the platform promises two
 /// seconds.
 inline constexpr Duration kReregisterTime = std::chrono::seconds{2};
 
