--- a/fuzz/feed_message_fuzz.cpp
+++ b/fuzz/feed_message_fuzz.cpp
@@ -67,7 +67,7 @@
             std::abort();
         }
     }
-    follower.tick({5, 1}, false, now, outbox);
+    follower.tick({{1, 5}, 1}, false, now, outbox);
     if (follower.confirmedAt() > now || follower.nextTick() <= now) {
         std::abort();
     }
--- a/fuzz/store_values_fuzz.cpp
+++ b/fuzz/store_values_fuzz.cpp
@@ -19,7 +19,7 @@
             }
         }
     }
-    if (const auto entry = decodeUpstream("i-7f3a91c2", text, 5)) {
+    if (const auto entry = decodeUpstream("i-7f3a91c2", text, {1, 5})) {
         if (entry->number == 0 || entry->address.port == 0 || entry->service.empty() || entry->warmUpLeft < Duration{}) {
             std::abort();
         }
