platform: a response without an era counts as of the last one that told it

Cause: found on reading the change again. A missing or malformed header was turned into era 0, so a host that had read era 2 took every later change of an upstream for one of the past and refused it, without a line in the log. Change: the client remembers the era. Test: store_feed_test "still takes changes if the store no longer tells its era" failed before, passes now.

--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -21,10 +21,10 @@
 
 constexpr std::string_view kEraHeader = "Store-Era";
 
-std::uint64_t eraOf(const HttpResponse &response)
+std::optional<std::uint64_t> eraOf(const HttpResponse &response)
 {
     const auto found = response.header.find(boost::beast::string_view(kEraHeader.data(), kEraHeader.size()));
-    return found == response.header.end() ? 0 : parseNumber({found->value().data(), found->value().size()}).value_or(0);
+    return found == response.header.end() ? std::nullopt : parseNumber({found->value().data(), found->value().size()});
 }
 
 } // namespace
@@ -77,7 +77,8 @@
     if (!result) {
         co_return StoreResult{};
     }
-    co_return StoreResult{result->status, result->status == kStatusOk ? decoder(result->body) : std::nullopt, eraOf(*result)};
+    era_ = eraOf(*result).value_or(era_);
+    co_return StoreResult{result->status, result->status == kStatusOk ? decoder(result->body) : std::nullopt, era_};
 }
 
 } // namespace medlarway
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -31,7 +31,9 @@
 struct StoreResult {
     unsigned status = 0; ///< HTTP status; 0 if no response was received
     std::optional<StoreResponse> response; ///< set only if the status is 200 and the body is valid
-    std::uint64_t era = 0; ///< of the store's data, which rises each time that the store returns to an older copy; 0 if unknown
+    /// Era of the store's data, which rises each time that the store returns to an older copy. That of the last response that told it, if
+    /// this one does not; 0 if none did.
+    std::uint64_t era = 0;
 
     friend bool operator==(const StoreResult &, const StoreResult &) = default;
 };
@@ -74,6 +76,7 @@
     boost::asio::awaitable<StoreResult> call(std::string target, Duration timeout, Duration connectTimeout, Decoder decoder);
 
     HttpClient connection_;
+    std::uint64_t era_ = 0; ///< see StoreResult::era
 };
 
 } // namespace medlarway
--- a/src/standin/platform/store.cpp
+++ b/src/standin/platform/store.cpp
@@ -113,7 +113,9 @@
                 co_await waitFor(std::chrono::hours{1}, [this] { return !running; });
                 co_return;
             }
-            response.set("Store-Era", std::to_string(era));
+            if (tellsEra) {
+                response.set("Store-Era", std::to_string(era));
+            }
             response.prepare_payload();
             const auto [writeError, written] = co_await http::async_write(socket, response, kWaitForCompletion);
             if (writeError) {
@@ -233,6 +235,7 @@
     std::size_t staleCalls = 0;
     std::size_t pendingWatches = 0;
     std::uint64_t era = 1;
+    bool tellsEra = true;
     std::uint64_t revision = 1;
     std::uint64_t historyStart = 0;
     std::map<std::string, Change> items;
@@ -289,6 +292,11 @@
     std::erase_if(impl_->history, [&copy](const Change &change) { return change.revision > copy.revision; });
 }
 
+void StandinStore::omitEra()
+{
+    impl_->tellsEra = false;
+}
+
 std::uint64_t StandinStore::remove(const std::string &key)
 {
     impl_->items.erase(key);
--- a/src/standin/platform/store.h
+++ b/src/standin/platform/store.h
@@ -47,6 +47,9 @@
     /// Returns to the remembered contents and revision, which begins a new era: later revisions are given out again.
     void restoreCopy();
 
+    /// From now on, responses do not tell the era.
+    void omitEra();
+
     /// Removes an item and returns the revision of the removal.
     std::uint64_t remove(const std::string &key);
 
--- a/tests/platform/store_feed_test.cpp
+++ b/tests/platform/store_feed_test.cpp
@@ -272,6 +272,16 @@
         CHECK(runUntil(context, [&] { return reader.upstreams.contains("i-4"); }));
         CHECK(reader.completeReads == 1);
     }
+    SUBCASE("still takes changes if the store no longer tells its era")
+    {
+        store.setFault(StoreFault::None);
+        REQUIRE(runUntil(context, [&] { return reader.completeReads == 2 && store.heldWatches() == 1; }));
+        store.omitEra();
+        store.put("servers/i-6", entry());
+        CHECK(runUntil(context, [&] { return reader.upstreams.contains("i-6"); }));
+        CHECK(reader.upstreams.at("i-6").revision.era == 2);
+        CHECK(reader.completeReads == 2);
+    }
     SUBCASE("reads everything if the era that another host told is not the store's")
     {
         reader.feed.resumeFrom({7, 1});
