--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -15,7 +15,8 @@
 bool holds(const std::string &folder)
 {
     Deployment site(folder, {"a", "b"});
-    site.writeConfig(7, {{Deployment::routeAddress(1), "registry"}, {Deployment::routeAddress(2), "gallery"}}, {"registry", "gallery"});
+    site.writeConfig(7, Deployment::configValue(7, {{Deployment::routeAddress(1), "registry"}, {Deployment::routeAddress(2), "gallery"}},
+                                                {"registry", "gallery"}));
     const auto now = unixMillis();
     const auto first = site.startEndpoint("i-7f3a91c2aa", "registry", site.newEndpointAddress(), "a", now - 60'000);
     const auto second = site.startEndpoint("i-19c0de42bb", "registry", site.newEndpointAddress(), "b", now - 50'000);
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -17,7 +17,7 @@
 bool holds(const std::string &folder)
 {
     Deployment site(folder, {"a", "a"});
-    site.writeConfig(7, {{Deployment::routeAddress(1), "registry"}}, {"registry"});
+    site.writeConfig(7, Deployment::configValue(7, {{Deployment::routeAddress(1), "registry"}}, {"registry"}));
     const auto now = unixMillis();
     std::vector<std::unique_ptr<Endpoint>> endpoints;
     for (const auto *id : {"i-7f3a91c2aa", "i-19c0de42bb", "i-50ab77e1cc"}) {
--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -117,8 +117,8 @@
     return {0xc6120000U + static_cast<std::uint32_t>(number), 8443};
 }
 
-void Deployment::writeConfig(std::uint64_t version, const std::vector<std::pair<Address, std::string>> &routes,
-                             const std::vector<std::string> &services)
+std::string Deployment::configValue(std::uint64_t version, const std::vector<std::pair<Address, std::string>> &routes,
+                                    const std::vector<std::string> &services, int timeoutMillis)
 {
     auto list = nlohmann::json::array();
     for (const auto &[address, service] : routes) {
@@ -126,7 +126,7 @@
                         {"host", ipText(address.ip)},
                         {"prefix", "/" + std::to_string(address.port) + "/"},
                         {"type", "idempotent"},
-                        {"timeout-ms", 1500},
+                        {"timeout-ms", timeoutMillis},
                         {"target-latency-ms", 150},
                         {"priority", 2},
                         {"service", service},
@@ -136,10 +136,13 @@
     for (const auto &service : services) {
         named.push_back({{"name", service}, {"health-path", "/health"}, {"max-connections", 2000}, {"protocol", "h1"}, {"tls", false}});
     }
-    store->put(
-        "op/config",
-        nlohmann::json{{"version", version}, {"routes", list}, {"services", named}, {"limits", {{"idle-timeout-ms", 15000}}}}.dump());
-    record.note("the store confirms configuration " + std::to_string(version));
+    return nlohmann::json{{"version", version}, {"routes", list}, {"services", named}, {"limits", {{"idle-timeout-ms", 15000}}}}.dump();
+}
+
+void Deployment::writeConfig(std::uint64_t version, const std::string &value)
+{
+    store->put("op/config", value);
+    record.note("the store confirms configuration " + std::to_string(version) + ", " + std::to_string(value.size()) + " bytes");
 }
 
 std::unique_ptr<Endpoint> Deployment::startEndpoint(const std::string &id, const std::string &service, const Address &address,
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -54,9 +54,12 @@
     std::unique_ptr<Store> store;
     std::vector<Host> hosts;
 
-    /// Writes the configuration: routes to services, as the operator does. Records the confirmation.
-    void writeConfig(std::uint64_t version, const std::vector<std::pair<Address, std::string>> &routes,
-                     const std::vector<std::string> &services);
+    /// The value of a configuration: routes to services.
+    static std::string configValue(std::uint64_t version, const std::vector<std::pair<Address, std::string>> &routes,
+                                   const std::vector<std::string> &services, int timeoutMillis = 1500);
+
+    /// Writes a configuration, as the operator does, and records the confirmation.
+    void writeConfig(std::uint64_t version, const std::string &value);
 
     /// Starts an endpoint and writes its entry.
     std::unique_ptr<Endpoint> startEndpoint(const std::string &id, const std::string &service, const Address &address,
--- a/review/standin/store.cpp
+++ b/review/standin/store.cpp
@@ -89,7 +89,11 @@
 std::uint64_t Store::put(const std::string &key, const std::string &value)
 {
     const auto known = items_.find(key);
-    Change change{key, value, ++revision_, known == items_.end() ? revision_ : known->second.created, false, Clock::now()};
+    ++revision_;
+    Change change{key, value, revision_, known == items_.end() ? revision_ : known->second.created, false, Clock::now(), ""};
+    change.text
+        = Json{{"key", key}, {"value", toBase64(value)}, {"revision", change.revision}, {"create-rev", change.created}, {"lease", 0}}
+              .dump();
     items_[key] = change;
     record(std::move(change));
     return revision_;
@@ -98,7 +102,8 @@
 std::uint64_t Store::remove(const std::string &key)
 {
     if (items_.erase(key) > 0) {
-        record({key, "", ++revision_, 0, true, Clock::now()});
+        ++revision_;
+        record({key, "", revision_, 0, true, Clock::now(), Json{{"key", key}, {"revision", revision_}, {"deleted", true}}.dump()});
     }
     return revision_;
 }
@@ -178,25 +183,23 @@
         respond(connection, 404, "{}");
         return;
     }
-    auto items = Json::array();
+    std::string items;
+    std::size_t count = 0;
     std::size_t bytes = 0;
     bool more = false;
     for (auto item = items_.upper_bound(query["after"]); item != items_.end(); ++item) {
         if (!item->first.starts_with(query["prefix"])) {
             continue;
         }
-        more = items.size() >= kPageItems || (bytes + item->second.value.size() > kPageBytes && !items.empty());
+        more = count >= kPageItems || (bytes + item->second.value.size() > kPageBytes && count > 0);
         if (more) {
             break;
         }
         bytes += item->second.value.size();
-        items.push_back({{"key", item->first},
-                         {"value", toBase64(item->second.value)},
-                         {"revision", item->second.revision},
-                         {"create-rev", item->second.created},
-                         {"lease", 0}});
+        items += (count++ == 0 ? "" : ",") + item->second.text;
     }
-    respond(connection, 200, Json{{"items", items}, {"has-more", more}, {"as-of", revision_}}.dump());
+    respond(connection, 200,
+            R"({"items":[)" + items + R"(],"has-more":)" + (more ? "true" : "false") + R"(,"as-of":)" + std::to_string(revision_) + "}");
 }
 
 void Store::answerWatch(const ConnectionPointer &connection, bool waitIsOver)
@@ -210,26 +213,17 @@
         respond(connection, 410, "{}");
         return;
     }
-    auto events = Json::array();
+    std::string events;
     for (const auto &change : history_) {
-        if (change.revision <= connection->after || !change.key.starts_with(connection->prefix)) {
-            continue;
-        }
-        if (change.deleted) {
-            events.push_back({{"key", change.key}, {"revision", change.revision}, {"deleted", true}});
-        } else {
-            events.push_back({{"key", change.key},
-                              {"value", toBase64(change.value)},
-                              {"revision", change.revision},
-                              {"create-rev", change.created},
-                              {"lease", 0}});
+        if (change.revision > connection->after && change.key.starts_with(connection->prefix)) {
+            events += (events.empty() ? "" : ",") + change.text;
         }
     }
     if (events.empty() && !waitIsOver) {
         return;
     }
     connection->watching = false;
-    respond(connection, 200, Json{{"events", events}, {"as-of", revision_}}.dump());
+    respond(connection, 200, R"({"events":[)" + events + R"(],"as-of":)" + std::to_string(revision_) + "}");
 }
 
 void Store::answerWatches()
@@ -252,8 +246,9 @@
 
 void Store::write(const ConnectionPointer &connection)
 {
-    while (!connection->output.empty()) {
-        const auto size = ::send(connection->descriptor, connection->output.data(), connection->output.size(), MSG_NOSIGNAL);
+    while (connection->written < connection->output.size()) {
+        const auto size = ::send(connection->descriptor, connection->output.data() + connection->written,
+                                 connection->output.size() - connection->written, MSG_NOSIGNAL);
         if (size < 0 && errno == EAGAIN) {
             loop_.watch(connection->descriptor, POLLIN | POLLOUT, [this, connection](short events) { onReady(connection, events); });
             return;
@@ -262,8 +257,10 @@
             close(connection);
             return;
         }
-        connection->output.erase(0, static_cast<std::size_t>(size));
+        connection->written += static_cast<std::size_t>(size);
     }
+    connection->output.clear();
+    connection->written = 0;
     loop_.watch(connection->descriptor, POLLIN, [this, connection](short events) { onReady(connection, events); });
     handleInput(connection);
 }
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -40,12 +40,14 @@
         std::uint64_t created = 0;
         bool deleted = false;
         Time madeAt;
+        std::string text; ///< as an item or event in a response
     };
 
     struct Connection {
         int descriptor = -1;
         std::string input;
         std::string output;
+        std::size_t written = 0; ///< bytes of the output that were sent
         bool watching = false;
         std::string prefix;
         std::uint64_t after = 0;
