--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -10,9 +10,9 @@
 namespace
 {
 
-constexpr int kFlows = 40;
-constexpr int kLossOf = 4; // every fourth flow loses its first SYN-ACK
-constexpr Millis kPause{1000}; // of a client, between two requests of a flow
+constexpr int kFlows = 48;
+constexpr int kLossOf = 3; // every third flow loses its first SYN-ACK
+constexpr Millis kPause{2000}; // of a client, between two requests of a flow
 
 bool holds(const std::string &folder)
 {
