--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -10,8 +10,9 @@
 namespace
 {
 
-constexpr int kFlows = 48;
-constexpr int kLossOf = 3; // every third flow loses its first SYN-ACK
+constexpr int kFlows = 160;
+constexpr int kLossOf = 10; // every tenth flow loses its first SYN-ACK
+constexpr Millis kStable{4000}; // stable-ms
 constexpr Millis kPause{2000}; // of a client, between two requests of a flow
 
 bool holds(const std::string &folder)
@@ -39,11 +40,11 @@
     std::vector<FlowPointer> flows;
     for (int row = 0; row < kFlows; ++row) {
         flows.push_back(client->open(Deployment::routeAddress(1)));
-        site.loop.runFor(Millis{10});
+        site.loop.runFor(Millis{3});
     }
     int number = 0;
     for (const auto &flow : flows) {
-        site.loop.after(kPause / kFlows * static_cast<int>(number++), [&, flow] {
+        site.loop.after(kPause * number++ / kFlows, [&, flow] {
             auto send = std::make_shared<std::function<void()>>();
             *send = [&, flow, send] {
                 client->request(flow, "request " + std::to_string(++number));
@@ -52,7 +53,7 @@
             (*send)();
         });
     }
-    site.loop.runFor(Millis{2500});
+    site.loop.runFor(kStable + Millis{200});
     for (const auto &flow : flows) {
         if (flow->state != FlowState::Open || flow->answered == 0) {
             throw CannotRun("a flow is not served before the planned stop");
