platform: refuse entries of upstreams that are not valid as a whole

Evidence: with the entry in the store, the state page of a host has the live upstream as "replaced" and the other id listed at its address. Change: a table of all fields with their checks decides on the entry as a whole, on every way in (full read and watch both go through it; hosts that follow another one get what that one accepted). Test before the change: "keeps a flow and its upstream if an entry without a required field has the upstream's address": reset instead of a response, the next flow not opened, 10 packets for another upstream. After: passes, with store_values_test for each field. A complete entry with the address of a live upstream still makes hosts take that one for terminated; that is the next change.

--- a/src/base/errors.h
+++ b/src/base/errors.h
@@ -42,6 +42,7 @@
     // Operators' input.
     BadSettings,
     BadCatalogue,
+    BadUpstreamEntry,
     AddressTaken,
     // The platform.
     PlatformUnreachable,
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -244,9 +244,13 @@
     const auto entry = item.deleted ? std::nullopt : decodeUpstream(id, item.value, revision);
     if (entry) {
         sink_.upstream(*entry);
-    } else {
-        sink_.removed(id, revision);
+        return;
+    }
+    if (!item.deleted) {
+        reportError(ErrorKind::BadUpstreamEntry, fmt::format("{} at revision {} names no upstream: '{}' is missing or invalid", item.key,
+                                                             item.revision, invalidUpstreamField(id, item.value)));
     }
+    sink_.removed(id, revision);
 }
 
 void StoreFeed::recordEra(const StoreResult &result)
--- a/src/platform/store_values.cpp
+++ b/src/platform/store_values.cpp
@@ -1,6 +1,7 @@
 #include "platform/store_values.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <sodium.h>
@@ -16,6 +17,10 @@
 // Far above any sensible duration of an operator or an upstream; keeps sums of times within range.
 constexpr std::uint64_t kMaxMilliseconds = 24ULL * 3600 * 1000;
 constexpr std::uint32_t kMaxSlots = 1'000'000;
+constexpr std::size_t kMaxNameBytes = 255;
+
+// The largest integer that every JSON implementation represents exactly (RFC 8259, section 6).
+constexpr std::uint64_t kMaxStartMs = (1ULL << 53U) - 1;
 constexpr std::uint32_t kMaxWeight = 1'000'000;
 
 std::optional<std::string> stringField(const Json &object, const char *key)
@@ -36,6 +41,59 @@
     return found->get<std::uint64_t>();
 }
 
+bool isName(const Json &value)
+{
+    return value.is_string() && !value.get_ref<const std::string &>().empty()
+           && value.get_ref<const std::string &>().size() <= kMaxNameBytes;
+}
+
+bool isUnsignedUpTo(const Json &value, std::uint64_t max)
+{
+    return value.is_number_unsigned() && value.get<std::uint64_t>() <= max;
+}
+
+// A process can't listen on an address of 0.0.0.0/8, a multicast address or a reserved one.
+bool isUnicastAddress(const Json &value)
+{
+    constexpr unsigned kFirstOctetShift = 24;
+    constexpr std::uint32_t kFirstMulticastOctet = 224;
+    const auto endpoint = value.is_string() ? parseEndpoint(value.get_ref<const std::string &>()) : std::nullopt;
+    const auto firstOctet = endpoint ? endpoint->address >> kFirstOctetShift : 0;
+    return endpoint && endpoint->port != 0 && firstOctet != 0 && firstOctet < kFirstMulticastOctet;
+}
+
+// A field that every upstream writes, and whether a value of it is valid.
+struct UpstreamField {
+    const char *name;
+    bool (*isValid)(const Json &value);
+};
+
+constexpr std::array<UpstreamField, 8> kUpstreamFields{{
+    {"service", isName},
+    {"address", isUnicastAddress},
+    {"zone", isName},
+    {"version", [](const Json &value) { return value.is_string(); }},
+    {"concurrency", [](const Json &value) { return isUnsignedUpTo(value, kMaxSlots) && value != 0U; }},
+    {"state", [](const Json &value) { return value == "ready" || value == "draining"; }},
+    {"warmup-left-ms", [](const Json &value) { return isUnsignedUpTo(value, kMaxMilliseconds); }},
+    {"sequence", [](const Json &value) { return value.is_number_unsigned(); }},
+}};
+
+std::string_view invalidField(std::string_view id, const Json &object)
+{
+    if (!upstreamNumber(id)) {
+        return "id";
+    }
+    for (const auto &field : kUpstreamFields) {
+        const auto found = object.find(field.name);
+        if (found == object.end() || !field.isValid(*found)) {
+            return field.name;
+        }
+    }
+    const auto born = object.find("born");
+    return born == object.end() || !isUnsignedUpTo(*born, kMaxStartMs) || *born == 0U ? "born" : "";
+}
+
 Duration fromMilliseconds(std::uint64_t count)
 {
     return std::chrono::milliseconds{static_cast<std::int64_t>(count)};
@@ -215,31 +273,27 @@
     return number;
 }
 
+std::string_view invalidUpstreamField(std::string_view id, std::string_view value)
+{
+    return invalidField(id, parseObject(value));
+}
+
+// The entry is used as a whole or not at all: one that another writer wrote may resemble an upstream's in some fields.
 std::optional<UpstreamEntry> decodeUpstream(std::string_view id, std::string_view value, const Revision &revision)
 {
     const auto object = parseObject(value);
-    const auto number = upstreamNumber(id);
-    const auto service = stringField(object, "service");
-    const auto address = parseEndpoint(stringField(object, "address").value_or(""));
-    const auto zone = stringField(object, "zone");
-    const auto state = stringField(object, "state");
-    const auto slots = unsignedField(object, "concurrency", kMaxSlots);
-    const auto warmUp = unsignedField(object, "warmup-left-ms", kMaxMilliseconds);
-    const bool bornIsValid = !object.contains("born") || unsignedField(object, "born");
-    const bool stateIsValid = state == "ready" || state == "draining";
-    if (!number || !service || service->empty() || !address || address->port == 0 || !zone || !stateIsValid || !slots || !warmUp
-        || !unsignedField(object, "sequence") || !bornIsValid) {
+    if (!invalidField(id, object).empty()) {
         return std::nullopt;
     }
     UpstreamEntry entry;
     entry.id = std::string(id);
-    entry.number = *number;
-    entry.address = *address;
-    entry.service = *service;
-    entry.zone.name = *zone;
-    entry.slots = static_cast<std::uint32_t>(*slots);
-    entry.draining = state == "draining";
-    entry.warmUpLeft = fromMilliseconds(*warmUp);
+    entry.number = *upstreamNumber(id);
+    entry.address = *parseEndpoint(*stringField(object, "address"));
+    entry.service = *stringField(object, "service");
+    entry.zone.name = *stringField(object, "zone");
+    entry.slots = static_cast<std::uint32_t>(*unsignedField(object, "concurrency"));
+    entry.draining = object["state"] == "draining";
+    entry.warmUpLeft = fromMilliseconds(*unsignedField(object, "warmup-left-ms"));
     entry.startMs = unsignedField(object, "born").value_or(0);
     entry.revision = revision;
     return entry;
--- a/src/platform/store_values.h
+++ b/src/platform/store_values.h
@@ -40,6 +40,10 @@
 /// Decodes an upstream's entry; nullopt if a field is missing or invalid, in which case the upstream must not be used. Never throws.
 std::optional<UpstreamEntry> decodeUpstream(std::string_view id, std::string_view value, const Revision &revision);
 
+/// The first field that is missing or invalid in an upstream's entry, "id" if its id has no valid number; empty if the entry is valid.
+/// Never throws.
+std::string_view invalidUpstreamField(std::string_view id, std::string_view value);
+
 /// Decodes the operator's configuration; nullopt if it is invalid. Never throws.
 std::optional<RouteConfig> decodeConfig(std::string_view value);
 
--- a/tests/entry_daemon/entry_host_test.cpp
+++ b/tests/entry_daemon/entry_host_test.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <thread>
 
 using namespace medlarway;
@@ -76,6 +77,16 @@
     return {*parseAddress(address), kPacketPort};
 }
 
+std::string stateOf(const std::string &address)
+{
+    return httpRequest(fmt::format("{}:{}", address, kControlPort), "/state").body;
+}
+
+bool hasVersion(const std::string &address, int version)
+{
+    return stateOf(address).find(fmt::format("\"configVersion\":{}", version)) != std::string::npos;
+}
+
 } // namespace
 
 TEST_CASE("an entry host between clients and an upstream")
@@ -157,6 +168,21 @@
         CHECK(upstream.synCount() <= before + 2); // the new SYN, and a retransmission if the response was late
         CHECK(client.exchange(packetsOf(first), "hello") == ClientEvent::Data);
     }
+    // Guards against resets of open flows by an entry that another writer wrote.
+    SUBCASE("keeps a flow and its upstream if an entry without a required field has the upstream's address")
+    {
+        REQUIRE(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
+        platform.change([&](StandinStore &store) {
+            auto odd = nlohmann::json::parse(standinUpstreamEntry("one", upstream.address(), "z", "ready", 2000));
+            odd.erase("version");
+            store.put("servers/i-0badc0ffee", odd.dump());
+            store.put("op/config", standinConfig(5, kRoute, "one"));
+        });
+        REQUIRE(waitUntil([&] { return hasVersion(first, 5); }));
+        CHECK(client.exchange(packetsOf(first), "hello") == ClientEvent::Data);
+        CHECK(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
+        CHECK(upstream.foreignPackets() == 0);
+    }
     SUBCASE("serves metrics and state pages")
     {
         REQUIRE(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
@@ -180,14 +206,11 @@
     REQUIRE(waitUntil([&] { return isReady(first); }));
     auto other = std::make_unique<DaemonProcess>(settingsOf(second, platform.address(), first), "");
     REQUIRE(waitUntil([&] { return isReady(second); }));
-    const auto stateOf = [](const std::string &address) { return httpRequest(fmt::format("{}:{}", address, kControlPort), "/state").body; };
     const auto follows = [&](const std::string &address) { return stateOf(address).find("\"reads\":\"none\"") != std::string::npos; };
     REQUIRE(waitUntil([&] { return follows(first) || follows(second); }));
     const bool firstReads = follows(second);
     auto &reader = firstReads ? one : other;
     const auto follower = firstReads ? second : first;
-    const auto hasVersion
-        = [&](int version) { return stateOf(follower).find(fmt::format("\"configVersion\":{}", version)) != std::string::npos; };
     const auto putConfig = [&](int version) {
         platform.change([&](StandinStore &store) { store.put("op/config", standinConfig(version, kRoute, "one")); });
     };
@@ -201,7 +224,7 @@
         };
         const auto before = line(callsOf());
         putConfig(5);
-        CHECK(waitUntil([&] { return hasVersion(5); }, 3s));
+        CHECK(waitUntil([&] { return hasVersion(follower, 5); }, 3s));
         CHECK(line(callsOf()) == before);
     }
     SUBCASE("applies a change that exceeds a datagram")
@@ -219,16 +242,16 @@
     {
         reader->signal(SIGKILL);
         putConfig(5);
-        CHECK(waitUntil([&] { return hasVersion(5); }, 3s));
+        CHECK(waitUntil([&] { return hasVersion(follower, 5); }, 3s));
     }
     SUBCASE("applies a change within the bound though its reader is paused, and so does the reader when it resumes")
     {
         const auto paused = firstReads ? first : second;
         reader->signal(SIGSTOP);
         putConfig(5);
-        CHECK(waitUntil([&] { return hasVersion(5); }, 3s));
+        CHECK(waitUntil([&] { return hasVersion(follower, 5); }, 3s));
         reader->signal(SIGCONT);
-        CHECK(waitUntil([&] { return stateOf(paused).find("\"configVersion\":5") != std::string::npos; }, 3s));
+        CHECK(waitUntil([&] { return hasVersion(paused, 5); }, 3s));
     }
 }
 
--- a/tests/platform/store_values_test.cpp
+++ b/tests/platform/store_values_test.cpp
@@ -54,25 +54,56 @@
     }
     SUBCASE("without a required field is rejected")
     {
-        for (const auto *key : {"service", "address", "zone", "concurrency", "state", "warmup-left-ms", "sequence"}) {
+        for (const auto *key : {"service", "address", "zone", "version", "concurrency", "state", "warmup-left-ms", "sequence", "born"}) {
             CAPTURE(key);
             auto lacking = entry;
             lacking.erase(key);
             CHECK_FALSE(decodeUpstream("i-1", lacking.dump(), {1, 1}));
+            CHECK(invalidUpstreamField("i-1", lacking.dump()) == key);
         }
     }
     SUBCASE("with an invalid field or an unknown state is rejected")
     {
         const std::vector<std::pair<const char *, Json>> wrong{
-            {"service", 5}, {"address", "10.1.1.1"},     {"address", "x:80"}, {"state", "asleep"},
-            {"state", 1},   {"concurrency", "2"},        {"concurrency", -1}, {"born", "yesterday"},
-            {"born", 1.5},  {"sequence", Json::array()}, {"zone", nullptr},   {"warmup-left-ms", -5},
+            {"service", 5},
+            {"address", "10.1.1.1"},
+            {"address", "x:80"},
+            {"state", "asleep"},
+            {"state", 1},
+            {"concurrency", "2"},
+            {"concurrency", -1},
+            {"born", "yesterday"},
+            {"born", 1.5},
+            {"sequence", Json::array()},
+            {"zone", nullptr},
+            {"warmup-left-ms", -5},
+            {"version", 1},
+            {"version", Json::object()},
+            {"service", ""},
+            {"zone", ""},
+            {"born", 0},
+            {"zone", std::string(300, 'z')},
+            {"concurrency", 0},
+            {"concurrency", 1e300},
+            {"address", "10.1.1.1:0"},
+            {"address", "10.1.1.1:70000"},
+            {"address", "10.1.1.1:-5"},
+            {"address", "0.0.0.0:80"},
+            {"address", "239.1.1.1:80"},
+            {"address", "255.255.255.255:80"},
+            {"born", -1},
+            {"born", UINT64_MAX},
+            {"born", 1ULL << 53U},
+            {"born", 1e300},
+            {"warmup-left-ms", UINT64_MAX},
+            {"sequence", 1e300},
         };
         for (const auto &field : wrong) {
             CAPTURE(field.first);
             auto bad = entry;
             bad[field.first] = field.second;
             CHECK_FALSE(decodeUpstream("i-1", bad.dump(), {1, 1}));
+            CHECK(invalidUpstreamField("i-1", bad.dump()) == field.first);
         }
     }
     SUBCASE("that is not a JSON object is rejected")
@@ -85,7 +116,9 @@
     {
         for (const auto *id : {"", "i-", "i-xyz", "i-0", "i-11112222333344445"}) {
             CHECK_FALSE(decodeUpstream(id, entry.dump(), {1, 1}));
+            CHECK(invalidUpstreamField(id, entry.dump()) == "id");
         }
+        CHECK(invalidUpstreamField("i-1", entry.dump()).empty());
     }
 }
 
