platform: a deeply nested entry no longer ends the hosts that read it

Callers saw: nobody served. Each host that reads the platform ended by SIGSEGV when another writer had left an entry with a field nested 200,000 deep, and again at each start while it was there. Cause: parseObject() copied the parsed value of every object (both arms of ?: have to be one value), and the JSON library copies by recursion. Evidence: a program that runs the steps one by one parses and releases 500,000 levels and ends at the copy of 100,000. Change: the value is moved. Entries are parsed only up to 64 KiB and 16 levels; the check of depth that messages of peers had is shared (base/json_depth), so a refused entry costs no memory. Test before the change: "goes on whatever another writer leaves among the entries of the upstreams": the host ended at the first entry; "with a further field is rejected if that is nested too deeply ..." ended the test program. The proxy's catalogue was tried the same way and refuses; a test keeps that.

--- a/src/platform/store_values.cpp
+++ b/src/platform/store_values.cpp
@@ -1,10 +1,13 @@
 #include "platform/store_values.h"
 
+#include "base/json_depth.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <sodium.h>
+#include <utility>
 
 namespace medlarway
 {
@@ -218,10 +221,21 @@
     return services;
 }
 
+// The value must not be copied: the library recurses once for each level then, and any client of the store may write one that is nested
+// deeply enough to exhaust the stack.
 Json parseObject(std::string_view text)
 {
     auto value = Json::parse(text, nullptr, false);
-    return value.is_object() ? value : Json::object();
+    return value.is_object() ? std::move(value) : Json::object();
+}
+
+// An upstream writes a flat object of some hundred bytes. Anything far beyond that is not parsed, as it would cost time and memory.
+Json parseEntry(std::string_view text)
+{
+    constexpr std::size_t kMaxEntryBytes = 64 * 1024;
+    constexpr int kMaxEntryDepth = 16;
+    const bool isBounded = text.size() <= kMaxEntryBytes && isNestedUpTo(kMaxEntryDepth, text, Json::input_format_t::json);
+    return isBounded ? parseObject(text) : Json::object();
 }
 
 } // namespace
@@ -275,13 +289,13 @@
 
 std::string_view invalidUpstreamField(std::string_view id, std::string_view value)
 {
-    return invalidField(id, parseObject(value));
+    return invalidField(id, parseEntry(value));
 }
 
 // The entry is used as a whole or not at all: one that another writer wrote may resemble an upstream's in some fields.
 std::optional<UpstreamEntry> decodeUpstream(std::string_view id, std::string_view value, const Revision &revision)
 {
-    const auto object = parseObject(value);
+    const auto object = parseEntry(value);
     if (!invalidField(id, object).empty()) {
         return std::nullopt;
     }
--- a/src/platform/store_values.h
+++ b/src/platform/store_values.h
@@ -41,7 +41,7 @@
 std::optional<UpstreamEntry> decodeUpstream(std::string_view id, std::string_view value, const Revision &revision);
 
 /// The first field that is missing or invalid in an upstream's entry, "id" if its id has no valid number; empty if the entry is valid.
-/// Never throws.
+/// An entry that can't be read, or is longer or more deeply nested than any upstream's, has no fields. Never throws.
 std::string_view invalidUpstreamField(std::string_view id, std::string_view value);
 
 /// Decodes the operator's configuration; nullopt if it is invalid. Never throws.
--- a/tests/catalogue/catalogue_text_test.cpp
+++ b/tests/catalogue/catalogue_text_test.cpp
@@ -60,6 +60,21 @@
 
 TEST_CASE("the services of a catalogue")
 {
+    SUBCASE("is rejected if it is nested too deeply, at any depth")
+    {
+        for (const auto *level : {"[", "{a: ", "- ", "? "}) {
+            for (const std::size_t depth : {1'000, 100'000}) {
+                CAPTURE(level);
+                CAPTURE(depth);
+                std::string nested;
+                for (std::size_t count = 0; count < depth; ++count) {
+                    nested += level;
+                }
+                CHECK_FALSE(parseCatalogue(nested).faults.empty());
+                CHECK_FALSE(parseCatalogue("services: " + nested).faults.empty());
+            }
+        }
+    }
     SUBCASE("may not share an address")
     {
         CHECK(faultsOf(entry("one", "x", "0.0.0.0:80") + entry("two", "x", "10.1.1.1:80"))
--- a/tests/entry_daemon/entry_host_test.cpp
+++ b/tests/entry_daemon/entry_host_test.cpp
@@ -185,6 +185,45 @@
         CHECK(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
         CHECK(upstream.foreignPackets() == 0);
     }
+    // Guards against a host that ends, or no longer follows the platform, because of an entry that another writer wrote.
+    SUBCASE("goes on whatever another writer leaves among the entries of the upstreams")
+    {
+        REQUIRE(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
+        const auto good = standinUpstreamEntry("one", {*parseAddress(loopbackAddress(104)), 9}, "z");
+        const auto with = [&](const std::string &field, const std::string &value) {
+            auto text = good.substr(0, good.size() - 1);
+            const auto at = text.find("\"" + field + "\":");
+            if (at != std::string::npos) {
+                text.erase(at, text.find_first_of(",}", at) - at + 1);
+            }
+            return text + (text.back() == ',' ? "" : ",") + "\"" + field + "\":" + value + "}";
+        };
+        const std::string open(200'000, '[');
+        const std::string close(200'000, ']');
+        const std::vector<std::string> odd{with("more", open + close),
+                                           open + close,
+                                           open,
+                                           with("born", "18446744073709551615"),
+                                           with("born", "1e400"),
+                                           with("sequence", "99999999999999999999"),
+                                           with("concurrency", "1e999"),
+                                           with("address", "\"127.0.0.1:70000\""),
+                                           with("address", "\"127.0.0.1:-5\""),
+                                           std::string(700'000, '\xff'),
+                                           std::string(1, '\0')};
+        for (std::size_t row = 0; row < odd.size(); ++row) {
+            CAPTURE(row);
+            platform.change([&](StandinStore &store) {
+                store.put(fmt::format("servers/i-{:x}", 0xbad0 + row), odd[row]);
+                store.put("op/config", standinConfig(4 + row, kRoute, "one"));
+            });
+            REQUIRE(waitUntil([&] { return hasVersion(first, 4 + static_cast<int>(row)); }));
+            CHECK(client.exchange(packetsOf(first), "hello") == ClientEvent::Data);
+        }
+        DaemonProcess other(settingsOf(second, platform.address(), second), "");
+        REQUIRE(waitUntil([&] { return isReady(second); }));
+        CHECK(client.exchange(packetsOf(second), "on a host that starts with them") == ClientEvent::Data);
+    }
     SUBCASE("serves metrics and state pages")
     {
         REQUIRE(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
--- a/tests/platform/store_values_test.cpp
+++ b/tests/platform/store_values_test.cpp
@@ -15,6 +15,16 @@
             {"state", "ready"},     {"warmup-left-ms", 1500},       {"sequence", 4}, {"born", 1790000000000}};
 }
 
+std::string repeated(const std::string &text, std::size_t count)
+{
+    std::string result;
+    result.reserve(text.size() * count);
+    for (std::size_t copy = 0; copy < count; ++copy) {
+        result += text;
+    }
+    return result;
+}
+
 Json goodConfig()
 {
     return Json::parse(R"({"version":7,"routes":[
@@ -106,6 +116,22 @@
             CHECK(invalidUpstreamField("i-1", bad.dump()) == field.first);
         }
     }
+    // Guards against a process that ends when another writer's entry exhausts its stack.
+    SUBCASE("with a further field is rejected if that is nested too deeply or too long, at any depth")
+    {
+        for (const std::size_t depth : {20, 2'000, 20'000, 200'000, 500'000}) {
+            CAPTURE(depth);
+            for (const auto &[open, close] : {std::pair{"[", "]"}, std::pair{"{\"a\":", "}"}}) {
+                auto nested = repeated(open, depth) + "1" + repeated(close, depth);
+                const auto text = entry.dump();
+                CHECK_FALSE(decodeUpstream("i-1", text.substr(0, text.size() - 1) + ",\"more\":" + nested + "}", {1, 1}));
+                CHECK_FALSE(decodeUpstream("i-1", nested, {1, 1}));
+                CHECK_FALSE(decodeUpstream("i-1", repeated(open, depth), {1, 1}));
+            }
+        }
+        entry["more"] = std::string(1 << 20U, 'x');
+        CHECK_FALSE(decodeUpstream("i-1", entry.dump(), {1, 1}));
+    }
     SUBCASE("that is not a JSON object is rejected")
     {
         for (const auto *text : {"", "{", "[]", "null", "\xff\xfe"}) {
@@ -145,6 +171,12 @@
         config["routes"][0]["type"] = "novel";
         CHECK(decodeConfig(config.dump())->routes[0].kind == RouteKind::NonIdempotent);
     }
+    SUBCASE("is decoded though another field is nested deeply")
+    {
+        const auto text = config.dump();
+        const auto nested = ",\"more\":" + repeated("[", 200'000) + repeated("]", 200'000);
+        CHECK(decodeConfig(text.substr(0, text.size() - 1) + nested + "}")->version == 7);
+    }
     SUBCASE("is rejected as a whole if a route is invalid")
     {
         config["routes"][1]["prefix"] = "80";
