steering: an entry alone no longer ends the upstream that has its address

Cause: the directory concluded from an entry that the upstream with the earlier start had terminated, and nothing took that back. Evidence: a test asked for Presence::Replaced at the claim; with an entry that has all fields, entry_daemon_test resets the flow. Both stay listed, open flows stay where they are, the earlier upstream is suspected unless it responded within the last second. An upstream that completes a handshake which began after the claim has the address; only then the others at it have terminated and their flows are reset. An upstream that was removed outranks none. Test before the change: "keeps a flow and its upstream if a complete entry has the upstream's address": a reset instead of a response, the next flow not opened.

--- a/src/entry/entry_pages.cpp
+++ b/src/entry/entry_pages.cpp
@@ -42,6 +42,7 @@
             {"address", endpointToString(upstream.entry.address)},
             {"zone", upstream.entry.zone.name},
             {"presence", presenceName(upstream.presence)},
+            {"contested", upstream.contestedAt.has_value()},
             {"draining", upstream.entry.draining},
             {"revision", revisionToString(upstream.entry.revision)},
             {"token", upstream.token},
--- a/src/entry/platform_data.cpp
+++ b/src/entry/platform_data.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace medlarway
 {
@@ -26,6 +27,23 @@
 void PlatformData::applyUpstream(const UpstreamEntry &entry)
 {
     steering_.directory().apply(entry, monotonicNow());
+    logContests();
+}
+
+void PlatformData::logContests()
+{
+    const auto contests = steering_.directory().contestCount();
+    if (std::exchange(contestsLogged_, contests) == contests) {
+        return;
+    }
+    for (const auto &upstream : steering_.directory().all()) {
+        if (upstream.contestedAt) {
+            logEvent(Event::AddressContested,
+                     {field("upstream", upstream.entry.id), field("address", endpointToString(upstream.entry.address)),
+                      field("start", upstream.entry.startMs), field("entry-revision", revisionToString(upstream.entry.revision)),
+                      field("flows", upstream.flows), field("suspected", upstream.liveness.suspectedAt.has_value())});
+        }
+    }
 }
 
 void PlatformData::removeUpstream(const std::string &id, const Revision &revision)
@@ -53,6 +71,7 @@
 {
     const auto versionBefore = steering_.routes().version();
     const bool changed = medlarway::applyDelta(steering_, delta, monotonicNow());
+    logContests();
     if (delta.full && delta.asOf > upTo_) {
         trackedFrom_ = delta.asOf;
     }
--- a/src/entry/platform_data.h
+++ b/src/entry/platform_data.h
@@ -51,7 +51,10 @@
     }
 
 private:
+    void logContests();
+
     FlowSteering &steering_;
+    std::size_t contestsLogged_ = 0;
     bool upstreamsLoaded_ = false;
     Revision upTo_; ///< see upTo()
     Revision trackedFrom_; ///< revision from which on all removals are known
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -1,5 +1,7 @@
 #include "steering/directory.h"
 
+#include "steering/liveness.h"
+
 #include <algorithm>
 #include <boost/unordered/unordered_flat_set.hpp>
 #include <utility>
@@ -51,6 +53,9 @@
         record.presence = Presence::Listed;
         record.changedAt = now;
     }
+    if (record.entry.address != entry.address || record.entry.startMs != entry.startMs) {
+        record.contestedAt.reset();
+    }
     record.entry = entry;
     record.warmUntil = now + entry.warmUpLeft;
     claimAddress(index, now);
@@ -191,7 +196,8 @@
     rebuildServiceIndex();
 }
 
-// Only one process can listen on an address: the one that started later owns it, and the other has terminated.
+// Only one process can listen on an address. The one that started later should have it and the other have terminated, but an entry alone
+// proves nothing: another writer may have left it, and clocks jump.
 void UpstreamDirectory::claimAddress(UpstreamIndex index, Time now)
 {
     if (!serviceExists(upstreams_[index].entry.service)) {
@@ -206,9 +212,48 @@
         owner->second = index; // the previous owner now has another address
         return;
     }
-    const auto earlier = upstreams_[other].entry.startMs > upstreams_[index].entry.startMs ? index : other;
+    if (upstreams_[other].entry.number == upstreams_[index].entry.number) {
+        return; // the process at the address accepts the packets of both
+    }
+    const bool otherIsLater
+        = upstreams_[other].presence == Presence::Listed && upstreams_[other].entry.startMs > upstreams_[index].entry.startMs;
+    const auto earlier = otherIsLater ? index : other;
     owner->second = earlier == index ? other : index;
-    delist(earlier, Presence::Replaced, now);
+    contest(earlier, owner->second, now);
+}
+
+// The earlier one keeps its flows, and gets new ones while it responds. Otherwise it is suspected: only trials go there until one succeeds.
+void UpstreamDirectory::contest(UpstreamIndex earlier, UpstreamIndex later, Time now)
+{
+    constexpr Duration kRecentResponse = std::chrono::seconds{1};
+    auto &first = upstreams_[earlier];
+    auto &second = upstreams_[later];
+    if (first.contestedAt && second.contestedAt) {
+        return;
+    }
+    ++contests_;
+    first.contestedAt = now;
+    second.contestedAt = now;
+    if (now - first.liveness.lastProgress >= kRecentResponse) {
+        markSuspected(first.liveness, now);
+    }
+}
+
+void UpstreamDirectory::confirmAddress(UpstreamIndex index, Time now)
+{
+    auto &owner = upstreams_[index];
+    if (!owner.contestedAt || now - *owner.contestedAt < kOpeningTime) {
+        return;
+    }
+    owner.contestedAt.reset();
+    byAddress_[owner.entry.address] = index;
+    for (UpstreamIndex other = 0; other < upstreams_.size(); ++other) {
+        auto &record = upstreams_[other];
+        if (record.contestedAt && record.entry.address == owner.entry.address && record.entry.number != owner.entry.number) {
+            record.contestedAt.reset();
+            delist(other, Presence::Replaced, now);
+        }
+    }
 }
 
 void UpstreamDirectory::rebuildServiceIndex()
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -38,7 +38,7 @@
 enum class Presence : std::uint8_t {
     Listed,
     Removed, ///< no longer listed, but may still run and serve flows
-    Replaced, ///< another upstream took over its address, so it has terminated
+    Replaced, ///< another upstream responded at its address, so it has terminated
 };
 
 /// Liveness of one upstream or zone, derived from the packets of this host's flows.
@@ -62,6 +62,7 @@
     Presence presence = Presence::Listed;
     Time changedAt; ///< when presence last changed
     Time warmUntil; ///< end of the warm-up after its start
+    std::optional<Time> contestedAt; ///< since when another entry has the same address, until one of the two proved to have it
     Liveness liveness;
     std::uint32_t running = 0; ///< outstanding requests of this host's flows
     std::uint32_t flows = 0; ///< tracked flows of this host
@@ -79,6 +80,9 @@
 /// seconds.
 inline constexpr Duration kReregisterTime = std::chrono::seconds{2};
 
+/// Longer than a client takes to open a flow (1.4 s): a handshake that ends later than this after a change began after the change.
+inline constexpr Duration kOpeningTime = std::chrono::milliseconds{1500};
+
 /// The upstreams that the platform lists, and for kTombstoneDuration those it listed before. Not thread-safe.
 class UpstreamDirectory
 {
@@ -90,6 +94,10 @@
     /// earlier process of the upstream is refused, and an upstream that was draining still is. An entry of an earlier era is not added.
     bool apply(const UpstreamEntry &entry, Time now);
 
+    /// Records that an upstream completed the handshake of a flow. Others with its address have terminated if this shows that it has taken
+    /// it.
+    void confirmAddress(UpstreamIndex index, Time now);
+
     /// Marks an upstream as no longer listed; false if it is not listed or a later revision is stored.
     bool remove(std::string_view id, const Revision &revision, Time now);
 
@@ -140,11 +148,18 @@
         return listed_;
     }
 
+    /// How many times an entry was applied that has the address of another upstream.
+    std::size_t contestCount() const
+    {
+        return contests_;
+    }
+
 private:
     void removeUnregistered(Time now);
     UpstreamIndex add(const UpstreamEntry &entry);
     void delist(UpstreamIndex index, Presence presence, Time now);
     void claimAddress(UpstreamIndex index, Time now);
+    void contest(UpstreamIndex earlier, UpstreamIndex later, Time now);
     void rebuildServiceIndex();
     bool serviceExists(const std::string &service) const;
 
@@ -152,6 +167,7 @@
     std::vector<UpstreamRecord> upstreams_;
     std::vector<UpstreamIndex> free_; ///< unused records
     std::size_t listed_ = 0;
+    std::size_t contests_ = 0; ///< see contestCount()
     Revision forgottenUpTo_; ///< see forgottenUpTo()
     Revision eraReadAt_; ///< revision of the first complete read of the current era
     std::optional<Time> reregisterUntil_; ///< when the entries of earlier eras count as removed
--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -292,6 +292,9 @@
     flow.pinned = true;
     flow.acknowledged = packet.acknowledged;
     onProgress(flow, now);
+    if (packet.token != 0 && !packet.rst) {
+        directory_.confirmAddress(flow.upstream, now);
+    }
     for (const auto target : flow.synTargets) {
         if (target != kNoUpstream && target != flow.upstream && !packet.rst) {
             supersededSyns_.push_back({packet.flow, target, flow.upstream});
--- a/tests/entry_daemon/entry_host_test.cpp
+++ b/tests/entry_daemon/entry_host_test.cpp
@@ -185,6 +185,18 @@
         CHECK(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
         CHECK(upstream.foreignPackets() == 0);
     }
+    SUBCASE("keeps a flow and its upstream if a complete entry has the upstream's address")
+    {
+        REQUIRE(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
+        platform.change([&](StandinStore &store) {
+            store.put("servers/i-0badc0ffee", standinUpstreamEntry("one", upstream.address(), "z", "ready", 2000));
+            store.put("op/config", standinConfig(5, kRoute, "one"));
+        });
+        REQUIRE(waitUntil([&] { return hasVersion(first, 5); }));
+        CHECK(client.exchange(packetsOf(first), "hello") == ClientEvent::Data);
+        CHECK(client.open(packetsOf(first), kRoute) == ClientEvent::Opened);
+        CHECK(waitUntil([&] { return host.log().find("AddressContested") != std::string::npos; }));
+    }
     // Guards against a host that ends, or no longer follows the platform, because of an entry that another writer wrote.
     SUBCASE("goes on whatever another writer leaves among the entries of the upstreams")
     {
