steering: an entry that names an unknown service leaves the upstream's open flows alone

Cause: such an entry replaced the upstream's record; a flow whose route never had the record's service is reset as if its route had changed. Only claims to an address were checked against the services. Evidence: after the entry the record in the directory has its service and address. The upstream counts as removed, its last good entry holds for its open flows. Parked entries are applied once a configuration names their service, and are passed on to following hosts, which may have it already. Test before the change: "an upstream whose entry names an unknown service": 7 of 23 checks failed, among them the reset. After: passes; a delta test covers what followers get.

--- a/src/entry/platform_data.cpp
+++ b/src/entry/platform_data.cpp
@@ -1,8 +1,10 @@
 #include "entry/platform_data.h"
 
+#include "base/errors.h"
 #include "base/log.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace medlarway
@@ -27,6 +29,10 @@
 void PlatformData::applyUpstream(const UpstreamEntry &entry)
 {
     steering_.directory().apply(entry, monotonicNow());
+    if (steering_.directory().parked().contains(entry.id)) {
+        reportError(ErrorKind::BadUpstreamEntry, fmt::format("{} at revision {} names the unknown service '{}'", entry.id,
+                                                             revisionToString(entry.revision), entry.service));
+    }
     logContests();
 }
 
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -19,6 +19,45 @@
     return services_.empty() || std::find(services_.begin(), services_.end(), service) != services_.end();
 }
 
+void UpstreamDirectory::applyParked(Time now)
+{
+    std::vector<UpstreamEntry> due;
+    for (const auto &[id, entry] : parked_) {
+        if (serviceExists(entry.service)) {
+            due.push_back(entry);
+        }
+    }
+    for (const auto &entry : due) {
+        apply(entry, now);
+    }
+}
+
+// A configuration that names the service may follow. Until then the last good entry holds for the upstream's open flows.
+bool UpstreamDirectory::park(const UpstreamEntry &entry, Time now)
+{
+    const auto index = findById(entry.id);
+    if (index != kNoUpstream && entry.revision < upstreams_[index].entry.revision) {
+        return false;
+    }
+    remove(entry.id, entry.revision, now);
+    parked_[entry.id] = entry;
+    return true;
+}
+
+// False if a later entry is parked.
+bool UpstreamDirectory::unpark(std::string_view id, const Revision &revision)
+{
+    const auto found = parked_.find(std::string(id));
+    if (found == parked_.end()) {
+        return true;
+    }
+    if (revision < found->second.revision) {
+        return false;
+    }
+    parked_.erase(found);
+    return true;
+}
+
 bool UpstreamDirectory::apply(const UpstreamEntry &offered, Time now)
 {
     auto entry = offered;
@@ -27,6 +66,12 @@
     if (added && entry.revision.era < eraReadAt_.era) {
         return false;
     }
+    if (!unpark(entry.id, entry.revision)) {
+        return false;
+    }
+    if (!serviceExists(entry.service)) {
+        return park(entry, now);
+    }
     if (added) {
         index = add(entry);
     }
@@ -67,6 +112,7 @@
 
 bool UpstreamDirectory::remove(std::string_view id, const Revision &revision, Time now)
 {
+    unpark(id, revision);
     const auto index = findById(id);
     if (index == kNoUpstream || upstreams_[index].presence != Presence::Listed || revision < upstreams_[index].entry.revision) {
         return false;
@@ -83,6 +129,7 @@
         reregisterUntil_ = now + kReregisterTime;
     }
     const boost::unordered_flat_set<std::string_view> listed(ids.begin(), ids.end());
+    boost::unordered::erase_if(parked_, [&](const auto &item) { return item.second.revision <= revision && !listed.contains(item.first); });
     std::size_t removed = 0;
     for (UpstreamIndex index = 0; index < upstreams_.size(); ++index) {
         auto &record = upstreams_[index];
@@ -200,9 +247,6 @@
 // proves nothing: another writer may have left it, and clocks jump.
 void UpstreamDirectory::claimAddress(UpstreamIndex index, Time now)
 {
-    if (!serviceExists(upstreams_[index].entry.service)) {
-        return;
-    }
     const auto [owner, isNew] = byAddress_.try_emplace(upstreams_[index].entry.address, index);
     const auto other = owner->second;
     if (isNew || other == index) {
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -87,11 +87,15 @@
 class UpstreamDirectory
 {
 public:
-    /// Sets the services that exist. An entry of any other service can't take over an upstream's address. Empty: every service is accepted.
+    /// Sets the services that exist. Empty: every service is accepted.
     void setServices(std::vector<std::string> services);
 
+    /// Applies the parked entries whose service exists now.
+    void applyParked(Time now);
+
     /// Adds or updates an entry; false if a later revision is already stored. Of an older copy of the platform's data, an entry of an
-    /// earlier process of the upstream is refused, and an upstream that was draining still is. An entry of an earlier era is not added.
+    /// earlier process of the upstream is refused, and an upstream that was draining still is. An entry of an earlier era is not added. An
+    /// entry whose service does not exist names no upstream to use: it is parked, and the upstream counts as removed meanwhile.
     bool apply(const UpstreamEntry &entry, Time now);
 
     /// Records that an upstream completed the handshake of a flow. Others with its address have terminated if this shows that it has taken
@@ -140,6 +144,12 @@
         return upstreams_;
     }
 
+    /// The parked entries by id; see apply().
+    const boost::unordered_flat_map<std::string, UpstreamEntry> &parked() const
+    {
+        return parked_;
+    }
+
     /// The listed upstreams of a service, including draining ones.
     std::span<const UpstreamIndex> listedUpstreams(const std::string &service) const;
 
@@ -155,6 +165,8 @@
     }
 
 private:
+    bool park(const UpstreamEntry &entry, Time now);
+    bool unpark(std::string_view id, const Revision &revision);
     void removeUnregistered(Time now);
     UpstreamIndex add(const UpstreamEntry &entry);
     void delist(UpstreamIndex index, Presence presence, Time now);
@@ -164,6 +176,7 @@
     bool serviceExists(const std::string &service) const;
 
     std::vector<std::string> services_; ///< existing services; empty if unknown
+    boost::unordered_flat_map<std::string, UpstreamEntry> parked_; ///< see parked()
     std::vector<UpstreamRecord> upstreams_;
     std::vector<UpstreamIndex> free_; ///< unused records
     std::size_t listed_ = 0;
--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -462,6 +462,7 @@
 void FlowSteering::tick(Time now)
 {
     usages_.sample();
+    directory_.applyParked(now);
     if (now - lastSweep_ < kSweepInterval) {
         return;
     }
--- a/src/steering/snapshot.cpp
+++ b/src/steering/snapshot.cpp
@@ -15,6 +15,9 @@
             snapshot.upstreams.push_back(upstream.entry);
         }
     }
+    for (const auto &[id, entry] : steering.directory().parked()) {
+        snapshot.upstreams.push_back(entry);
+    }
     return snapshot;
 }
 
@@ -37,8 +40,15 @@
     if (steering.routes().version() > receiver.version) {
         delta.config = steering.routes().config();
     }
+    const auto &parked = steering.directory().parked();
+    for (const auto &[id, entry] : parked) {
+        if (delta.full || entry.revision > receiver.asOf) {
+            delta.upstreams.push_back(entry);
+        }
+    }
     for (const auto &upstream : steering.directory().all()) {
-        if (upstream.entry.id.empty() || (!delta.full && upstream.entry.revision <= receiver.asOf)) {
+        const bool isKnown = !delta.full && upstream.entry.revision <= receiver.asOf;
+        if (upstream.entry.id.empty() || isKnown || parked.contains(upstream.entry.id)) {
             continue;
         }
         if (upstream.presence == Presence::Listed) {
--- a/tests/steering/delta_test.cpp
+++ b/tests/steering/delta_test.cpp
@@ -55,6 +55,26 @@
     source.directory().apply(entryOf("i-1", 1, 10), now);
     source.directory().apply(entryOf("i-2", 2, 20), now);
 
+    SUBCASE("contains an entry whose service does not exist yet, for a host that may know the service")
+    {
+        auto early = entryOf("i-2", 2, 21);
+        early.service = "two";
+        source.directory().apply(early, now);
+        auto config = configOf(4);
+        config.services = {"one", "two"};
+        receiver.applyConfig(config);
+        const auto delta = takeDelta(source, {{1, 20}, 3}, {1, 21}, {1, 5});
+        CHECK(delta.upstreams == std::vector<UpstreamEntry>{early});
+        CHECK(delta.removed.empty());
+        CHECK(applyDelta(receiver, delta, now));
+        CHECK(listedIds(receiver) == std::set<std::string>{"i-2"});
+        FlowSteering late{{}};
+        applySnapshot(late, takeSnapshot(source, {1, 21}), now);
+        CHECK(listedIds(late) == std::set<std::string>{"i-1"});
+        late.applyConfig(config);
+        late.tick(now);
+        CHECK(listedIds(late) == std::set<std::string>{"i-1", "i-2"});
+    }
     SUBCASE("to a host without data is full")
     {
         const auto delta = takeDelta(source, {}, {1, 20}, {1, 5});
--- a/tests/steering/flow_steering_test.cpp
+++ b/tests/steering/flow_steering_test.cpp
@@ -365,6 +365,74 @@
     }
 }
 
+// Guards against resets of open flows while an entry under the upstream's id names a service that no configuration has.
+TEST_CASE("an upstream whose entry names an unknown service")
+{
+    auto steering = makeSteering();
+    auto &directory = steering.directory();
+    auto config = configOf(2, {routeTo(kRegistry, "registry"), routeTo(kGallery, "gallery")});
+    config.services = {"registry", "gallery"};
+    REQUIRE(steering.applyConfig(config));
+    directory.apply(entryOf("i-1", 1), at(0s));
+    Client client(40001);
+    steering.onPacket(client.syn(), at(0s));
+    steering.onPacket(client.acknowledge(Client::synAckToken(tokenOf("i-1"))), at(10ms));
+    client.receive(tokenOf("i-1"));
+    directory.apply(entryOf("i-1", 7, "novel", "a", 5), at(1s));
+
+    SUBCASE("keeps its flows at its address, and gets no new one")
+    {
+        CHECK(steering.onPacket(client.request(), at(1s)) == SteeringDecision{SteeringAction::Forward, SteeringReason::KnownFlow, 0});
+        CHECK(directory.at(0).entry.address == entryOf("i-1", 1).address);
+        CHECK(steering.onPacket(Client(40002).syn(), at(1s)).reason == SteeringReason::NoUpstream);
+        SUBCASE("and is used again with its next good entry")
+        {
+            directory.apply(entryOf("i-1", 1, "registry", "a", 6), at(2s));
+            CHECK(steering.onPacket(client.acknowledgeResponse(), at(2s)).action == SteeringAction::Forward);
+            CHECK(steering.onPacket(Client(40002).syn(), at(2s)).upstream == 0);
+            CHECK(directory.parked().empty());
+        }
+        SUBCASE("and not with an older entry")
+        {
+            CHECK_FALSE(directory.apply(entryOf("i-1", 1, "registry", "a", 4), at(2s)));
+            CHECK(directory.listedCount() == 0);
+        }
+    }
+    SUBCASE("moves to the service once a configuration names it")
+    {
+        config.version = 3;
+        config.services.push_back("novel");
+        config.routes.push_back(routeTo(kUnrouted, "novel"));
+        REQUIRE(steering.applyConfig(config));
+        steering.tick(at(2s));
+        CHECK(steering.onPacket(Client(40002, kUnrouted).syn(), at(2s)).upstream == 0);
+        CHECK(directory.at(0).entry.service == "novel");
+    }
+    SUBCASE("is forgotten when the platform removes the entry")
+    {
+        SUBCASE("by a change")
+        {
+            directory.remove("i-1", {1, 6}, at(2s));
+        }
+        SUBCASE("found by a complete read")
+        {
+            directory.removeUnlisted({}, {1, 6}, at(2s));
+        }
+        CHECK(directory.parked().empty());
+        CHECK(steering.onPacket(client.request(), at(2s)).action == SteeringAction::Forward);
+    }
+    SUBCASE("under a new id leaves the upstream at its address alone")
+    {
+        directory.apply(entryOf("i-1", 1, "registry", "a", 6), at(2s));
+        auto other = entryOf("i-2", 1, "novel", "a", 7);
+        other.number = 2;
+        other.startMs = 5000;
+        directory.apply(other, at(2s));
+        CHECK(directory.contestCount() == 0);
+        CHECK(steering.onPacket(Client(40003).syn(), at(2s)).upstream == 0);
+    }
+}
+
 // Guards against resets of open flows, and an upstream that gets no more, because of an entry alone.
 TEST_CASE("an upstream whose address another entry has")
 {
