platform: changes above the limit of a response lead to a read of the current data

Cause: the HTTP client reported a body above 4 MiB like a lost connection; the feed repeated the watch from the same revision, whose response only grows, until the store discarded the history. Evidence: with five values of 1 MiB between two watches the feed's test never sees the last one. The feed then reads the current data in pages as after a 410, the proxy's source reads its item. Tests before the change: "reads the current data if the changes exceed the limit of a response" and "is read again if its changes exceed the limit of a response" failed (5 checks). After: both pass.

--- a/src/pages/http_client.cpp
+++ b/src/pages/http_client.cpp
@@ -16,8 +16,6 @@
 
 constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
 
-// A page of the platform's store holds at most about 1 MB of items, or one value of that size, and base64 adds a third.
-constexpr std::uint64_t kMaxBodyBytes = 4ULL << 20U;
 constexpr std::uint32_t kMaxHeadBytes = 8192;
 
 } // namespace
@@ -62,11 +60,12 @@
     if (error || !parser.get().keep_alive()) {
         close();
     }
-    if (error) {
+    const bool bodyTooLarge = error == http::error::body_limit;
+    if (error && !bodyTooLarge) {
         co_return std::nullopt;
     }
     auto response = parser.release();
-    co_return HttpResponse{response.result_int(), std::move(response.base()), std::move(response.body())};
+    co_return HttpResponse{response.result_int(), std::move(response.base()), bodyTooLarge ? "" : std::move(response.body()), bodyTooLarge};
 }
 
 void HttpClient::close()
--- a/src/pages/http_client.h
+++ b/src/pages/http_client.h
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/fields.hpp>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -19,8 +20,13 @@
     unsigned status = 0;
     boost::beast::http::fields header;
     std::string body;
+    bool bodyTooLarge = false; ///< the body exceeded kMaxBodyBytes and was not read
 };
 
+/// Limit of a response's body. A page of the platform's store holds at most about 1 MB of items, or one value of that size, and base64 adds
+/// a third.
+inline constexpr std::uint64_t kMaxBodyBytes = 4ULL << 20U;
+
 /// An HTTP client that sends GET requests, one at a time, over a persistent connection. A request reconnects if the connection
 /// was lost.
 class HttpClient
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -78,7 +78,8 @@
         co_return StoreResult{};
     }
     era_ = eraOf(*result).value_or(era_);
-    co_return StoreResult{result->status, result->status == kStatusOk ? decoder(result->body) : std::nullopt, era_};
+    const bool isReadable = result->status == kStatusOk && !result->bodyTooLarge;
+    co_return StoreResult{result->status, isReadable ? decoder(result->body) : std::nullopt, era_, result->bodyTooLarge};
 }
 
 } // namespace medlarway
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -34,6 +34,7 @@
     /// Era of the store's data, which rises each time that the store returns to an older copy. That of the last response that told it, if
     /// this one does not; 0 if none did.
     std::uint64_t era = 0;
+    bool tooLarge = false; ///< the response exceeded the limit of a body and was not read
 
     friend bool operator==(const StoreResult &, const StoreResult &) = default;
 };
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -166,6 +166,12 @@
         co_return true; // resumeFrom() made the full read unnecessary during the call
     }
     const bool otherHistory = result.response && (result.era != after.era || result.response->asOf < after.number);
+    if (result.tooLarge) {
+        reportTooLarge(after);
+        restartFullRead();
+        changed_ = true; // the changes come too fast to follow: rest before the next attempt
+        co_return true;
+    }
     if (result.status == kStatusHistoryExpired || otherHistory) {
         restartFullRead();
         co_return true;
@@ -195,6 +201,8 @@
     asOf_ = std::max(asOf_, asOf);
 }
 
+// Changes that exceed the limit of a response will not become fewer: the current data is read instead, whose pages are smaller.
+//
 // After a failure the store is asked for an immediate response: while it may hold the call, a lost call can't be told from one without
 // news.
 asio::awaitable<bool> StoreFeed::watch()
@@ -209,7 +217,10 @@
     }
     // The number that was asked for may stand for another change in the response's era, so changes before it may be missing.
     const bool otherHistory = result.response && result.era != after.era;
-    if (result.status == kStatusHistoryExpired || otherHistory) {
+    if (result.tooLarge) {
+        reportTooLarge(after);
+    }
+    if (result.status == kStatusHistoryExpired || otherHistory || result.tooLarge) {
         restartFullRead();
         co_return true;
     }
@@ -266,6 +277,12 @@
     era_ = result.era;
 }
 
+void StoreFeed::reportTooLarge(const Revision &after)
+{
+    reportError(ErrorKind::PlatformBadAnswer, fmt::format("watch after revision {}: the changes exceed {} bytes, the current data is read",
+                                                          revisionToString(after), kMaxBodyBytes));
+}
+
 void StoreFeed::recordSuccess(const Revision &asOf, bool changed)
 {
     const auto now = monotonicNow();
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -108,6 +108,7 @@
     bool applyChanges(const StoreResult &result);
     void apply(const StoreItem &item, std::uint64_t era);
     void recordEra(const StoreResult &result);
+    static void reportTooLarge(const Revision &after);
     void recordSuccess(const Revision &asOf, bool changed);
     bool recordFailure(std::string_view call, unsigned status);
 
--- a/src/platform/store_source.cpp
+++ b/src/platform/store_source.cpp
@@ -205,8 +205,8 @@
 // Processes the result of a call and returns the delay before the next call for the key.
 Duration StoreSource::processResult(KeyWatch &watch, const StoreResult &result, Duration elapsed)
 {
-    // Step 1. Failed calls. An expired or lost history is no failure: the item is read instead.
-    if ((startsEra(watch, result) || result.status == kStatusHistoryExpired) && watch.asOf != 0) {
+    // Step 1. Failed calls. An expired, lost or too long history is no failure: the item is read instead.
+    if ((startsEra(watch, result) || result.status == kStatusHistoryExpired || result.tooLarge) && watch.asOf != 0) {
         watch.asOf = 0;
         return options_.readInterval;
     }
--- a/tests/platform/sources_test.cpp
+++ b/tests/platform/sources_test.cpp
@@ -196,6 +196,15 @@
         CHECK(runUntil(context, [&] { return received.lastRevision() == second && store.heldWatches() == 1; }));
         CHECK(received.updates.size() == 2);
     }
+    SUBCASE("is read again if its changes exceed the limit of a response")
+    {
+        REQUIRE(store.heldWatches() == 1);
+        for (int copy = 0; copy < 5; ++copy) {
+            store.put("catalogue/one", std::string(1 << 20U, ' '));
+        }
+        const auto last = store.put("catalogue/one", shardText("two"));
+        CHECK(runUntil(context, [&] { return received.lastRevision() == last && store.heldWatches() == 1; }));
+    }
     SUBCASE("arrives after the store was overloaded, rate-limited or unreachable")
     {
         for (const auto fault : {StoreFault::Busy, StoreFault::RateLimited, StoreFault::Reset}) {
--- a/tests/platform/store_feed_test.cpp
+++ b/tests/platform/store_feed_test.cpp
@@ -173,6 +173,21 @@
         CHECK(runUntil(context, [&] { return reader.completeReads == 2; }));
         CHECK(reader.upstreams.empty());
     }
+    // Guards against a host that never learns of a change again because the changes since its last revision exceed the limit of a response.
+    SUBCASE("reads the current data if the changes exceed the limit of a response")
+    {
+        store.remove("servers/i-1");
+        store.put("servers/i-2", entry());
+        for (int copy = 0; copy < 5; ++copy) {
+            store.put("op/config", std::string(1 << 20U, ' ') + standinConfig(9, kRoute, "one"));
+        }
+        CHECK(runUntil(context, [&] { return reader.versions.back() == 9 && reader.completeReads == 2; }));
+        CHECK(reader.upstreams.size() == 1);
+        CHECK(reader.upstreams.contains("i-2"));
+        store.put("servers/i-3", entry());
+        CHECK(runUntil(context, [&] { return reader.upstreams.contains("i-3"); }));
+        CHECK(reader.completeReads == 2);
+    }
     SUBCASE("keeps its data while the store is unavailable, and then resumes from its last revision")
     {
         for (const auto fault : {StoreFault::Busy, StoreFault::RateLimited, StoreFault::Silent, StoreFault::Reset}) {
