soak: another writer leaves odd entries among those of the upstreams

Change: a fault kind that writes an entry every 0.2 to 0.8 s, under a new id with the address of a live upstream or under that upstream's id, and takes it back after up to 3 s: incomplete, complete with a later start, a start out of range, nested 200,000 deep in and outside of an object, no text. It is no disturbance: every invariant has to hold meanwhile.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -17,7 +17,7 @@
 constexpr std::array<std::string_view, static_cast<std::size_t>(FaultKind::Count)> kNames{
     "stop",          "reload",       "change",       "replace",      "kill",         "kill-all",      "pause",        "crash",
     "reuse",         "restart",      "store-busy",   "store-silent", "store-resets", "store-slow",    "history-gone", "store-cut",
-    "store-one-way", "store-broken", "store-frozen", "zone-cut",     "loss",         "store-returns",
+    "store-one-way", "store-broken", "store-frozen", "zone-cut",     "loss",         "store-returns", "odd-entry",
 };
 
 constexpr Duration kEarliestFault = 500ms;
@@ -59,6 +59,11 @@
             faults.push_back({at, FaultKind::StoreReturns, random(), between(random, 300ms, 3s)});
         }
     }
+    if (options.oddEntries) {
+        for (auto at = kEarliestFault; at < options.length; at += between(random, 200ms, 800ms)) {
+            faults.push_back({at, FaultKind::OddEntry, random(), between(random, 300ms, 3s)});
+        }
+    }
     std::stable_sort(faults.begin(), faults.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return faults;
 }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -19,6 +19,7 @@
     int callers = 12;
     Duration length = std::chrono::seconds{12};
     bool storeReturns = false; ///< the store returns to older copies of its data, beside the other faults
+    bool oddEntries = false; ///< another writer leaves entries that are not upstreams', beside the other faults
 };
 
 /// Planned work on the system, and faults that are injected into it.
@@ -47,6 +48,7 @@
     ZoneCut, ///< packets from one zone's hosts to the other zones' upstreams are lost
     Loss, ///< one packet in five to upstreams is lost
     StoreReturns, ///< the store loses what is written from now on until it returns; drawn only with SoakOptions::storeReturns
+    OddEntry, ///< another writer leaves an entry among those of the upstreams; drawn only with SoakOptions::oddEntries
     Count,
 };
 
--- a/tests/soak/platform.cpp
+++ b/tests/soak/platform.cpp
@@ -2,8 +2,10 @@
 
 #include "daemon/daemon_process.h"
 
+#include <array>
 #include <boost/endian/conversion.hpp>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace medlarway::soak
@@ -17,7 +19,10 @@
 constexpr int kPathAddress = 99;
 
 constexpr std::uint64_t kFirstNumber = 0x1000;
+constexpr std::uint64_t kFirstOddNumber = 0xadd000;
 constexpr std::uint64_t kFirstBorn = 1000;
+constexpr std::uint64_t kLaterBorn = 10'000'000;
+constexpr std::size_t kOddDepth = 200'000;
 constexpr std::uint64_t kLossDivisor = 5;
 
 // Offsets of the checked fields in a packet with the recipient prefix.
@@ -281,6 +286,37 @@
     checker_.endDisturbance(upstreamSubject(id));
 }
 
+std::string SoakPlatform::writeOddEntry(const std::string &upstreamId, std::uint64_t selector)
+{
+    const std::lock_guard lock(mutex_);
+    const auto &upstream = upstreams_.at(upstreamId);
+    const auto good = standinUpstreamEntry(upstream.service, upstream.link->address(), upstream.zone, "ready", kLaterBorn + lastOddId_);
+    auto incomplete = nlohmann::json::parse(good);
+    incomplete.erase("version");
+    auto tooLarge = nlohmann::json::parse(good);
+    tooLarge["born"] = UINT64_MAX;
+    const auto nested = std::string(kOddDepth, '[') + std::string(kOddDepth, ']');
+    const std::array<std::string, 6> entries{
+        good, incomplete.dump(), tooLarge.dump(), good.substr(0, good.size() - 1) + ",\"more\":" + nested + "}", nested, "no entry \xff"};
+    const auto &entry = entries.at(selector % entries.size());
+    // A complete entry under the id of an upstream would be that upstream's own.
+    const bool ofUpstream = selector % entries.size() != 0 && (selector >> 32U) % 2 == 0;
+    const auto id = ofUpstream ? upstreamId : fmt::format("i-{:x}", kFirstOddNumber + ++lastOddId_);
+    runOnThread([&] { store_.put("servers/" + id, entry); });
+    return id;
+}
+
+void SoakPlatform::clearOddEntry(const std::string &id)
+{
+    const std::lock_guard lock(mutex_);
+    const auto upstream = upstreams_.find(id);
+    if (upstream != upstreams_.end() && upstream->second.listed) {
+        publish(id, upstream->second);
+    } else {
+        runOnThread([&] { store_.remove("servers/" + id); });
+    }
+}
+
 std::string SoakPlatform::pickUpstream(const std::string &service, std::uint64_t selector) const
 {
     const std::lock_guard lock(mutex_);
--- a/tests/soak/platform.h
+++ b/tests/soak/platform.h
@@ -81,6 +81,13 @@
     /// Terminates an upstream and starts it again with the same id.
     void restartUpstream(const std::string &id);
 
+    /// Writes an entry as another writer would, under a new id with the address of an upstream or under the id of that upstream. Returns
+    /// the key's id.
+    std::string writeOddEntry(const std::string &upstreamId, std::uint64_t selector);
+
+    /// Removes the odd entry; an upstream that still runs writes its own again.
+    void clearOddEntry(const std::string &id);
+
     /// One of the service's running upstreams that are not draining; empty if fewer than two are left.
     std::string pickUpstream(const std::string &service, std::uint64_t selector) const;
 
@@ -138,6 +145,7 @@
     bool loss_ = false;
     Random random_;
     std::uint64_t lastId_ = 0;
+    std::uint64_t lastOddId_ = 0;
     int nextAddress_ = 0;
     /// Guards version_ and versionAt_. Never held while waiting for the platform's thread, which locks it too.
     mutable std::mutex configMutex_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -58,6 +58,7 @@
     void injectFor(const std::string &subject, Duration duration, const std::function<void()> &begin, std::function<void()> end);
     void injectStoreFault(const Fault &fault, StoreFault kind);
     void returnStore(const Fault &fault);
+    void leaveOddEntry(const Fault &fault);
     void path(const Fault &fault, StorePath path);
     void applyToPath(const Fault &fault, void (SoakPlatform::*action)(int host));
     void replaceUpstream(const Fault &fault);
@@ -157,6 +158,8 @@
         return platform_.dropHistory();
     case FaultKind::StoreReturns:
         return returnStore(fault);
+    case FaultKind::OddEntry:
+        return leaveOddEntry(fault);
     case FaultKind::StoreCut:
         return path(fault, StorePath::Silent);
     case FaultKind::StoreOneWay:
@@ -200,6 +203,16 @@
     });
 }
 
+void Injector::leaveOddEntry(const Fault &fault)
+{
+    const auto upstream = platform_.pickUpstream(serviceOf(fault), fault.selector);
+    if (!upstream.empty()) {
+        const auto id = platform_.writeOddEntry(upstream, fault.selector);
+        checker_.record(fmt::format("another writer leaves {}, after {}", id, upstream));
+        schedule(fault.duration, [this, id] { platform_.clearOddEntry(id); });
+    }
+}
+
 void Injector::path(const Fault &fault, StorePath path)
 {
     const auto host = hostOf(fault);
