--- /dev/null
+++ b/src/steering/flow_handshake.cpp
@@ -0,0 +1,132 @@
+// The part of FlowSteering that opens flows: SYNs, their copies, and the tokens that tell which upstream got a flow.
+#include "steering/flow_steering.h"
+
+#include <utility>
+
+namespace medlarway
+{
+
+namespace
+{
+
+// The data that a client sends at most without an acknowledgement: 16 packets of 1,200 bytes.
+constexpr std::uint32_t kMaxBytesInFlight = 16 * 1200;
+
+} // namespace
+
+SteeringDecision FlowSteering::onSyn(const FlowPacket &packet, const FlowRoute &route, Time now)
+{
+    // Step 1. A retransmitted SYN of a flow in the table.
+    const auto known = flows_.find(packet.flow);
+    if (known != flows_.end()) {
+        if (known->second.firstSequence == packet.sequence && routeAllows(packet.flow.destination, known->second.upstream)) {
+            return onRepeatedSyn(route, known->second, now);
+        }
+        removeFlow(packet.flow);
+    }
+    // Step 2. Place a new flow.
+    const auto usage = usages_.indexOf(packet.flow.destination);
+    const auto upstream = place(route, usage, kNoUpstream, now);
+    if (upstream == kNoUpstream) {
+        const bool fresh = now <= freshUntil_;
+        return {fresh ? SteeringAction::Reset : SteeringAction::Drop,
+                fresh ? SteeringReason::NoUpstream : SteeringReason::UpstreamsUncertain, kNoUpstream};
+    }
+    if (auto *flow = trackFlow(packet.flow, upstream, now)) {
+        flow->synSent = true;
+        flow->firstSequence = packet.sequence;
+        flow->nextSequence = packet.sequence + 1;
+        recordSynTarget(*flow);
+    }
+    return {SteeringAction::Forward, SteeringReason::Opened, upstream};
+}
+
+// A running upstream responds to a SYN within milliseconds, so a retransmission means that the upstream is down or full, or that a packet
+// was lost. The SYN goes to another upstream. The client accepts the first response, and the token in its next packet shows which upstream
+// sent it. The other one may respond too: see finishHandshake().
+SteeringDecision FlowSteering::onRepeatedSyn(const FlowRoute &route, SteeredFlow &flow, Time now)
+{
+    flow.lastSeen = now;
+    if (!flow.synSent) {
+        return {SteeringAction::Forward, SteeringReason::SynRepeated, flow.upstream};
+    }
+    onStall(flow, now);
+    const auto other = place(route, flow.routeUsage, flow.upstream, now);
+    if (other == kNoUpstream) {
+        return {SteeringAction::Forward, SteeringReason::SynRepeated, flow.upstream};
+    }
+    rebind(flow, other);
+    recordSynTarget(flow);
+    return {SteeringAction::Forward, SteeringReason::SynRerouted, other};
+}
+
+// The token is that of an open flow, or the opening token if firstSequence is the sequence number of the flow's first packet after the SYN.
+UpstreamIndex FlowSteering::findByToken(FlowToken token, std::uint32_t firstSequence) const
+{
+    const auto found = directory_.findByToken(token);
+    return found == kNoUpstream ? directory_.findByToken(openingToken(token, firstSequence)) : found;
+}
+
+// The token identifies the upstream whose response the client accepted. It may differ from the flow's upstream if the SYN was sent to
+// several upstreams, by this host or through another one. False if the client accepted a response but the token does not tell whose: the
+// flow may then be open anywhere.
+bool FlowSteering::rebindByToken(SteeredFlow &flow, const FlowPacket &packet)
+{
+    if (packet.token == directory_.at(flow.upstream).token) {
+        return true;
+    }
+    // Packets may overtake the first one. One further on than a client sends without a response comes from a flow that went on elsewhere.
+    const bool overtook = flow.synSent && packet.sequence - flow.firstSequence - 1 < kMaxBytesInFlight;
+    const auto accepted = findByToken(packet.token, overtook ? flow.firstSequence + 1 : packet.sequence);
+    if (accepted != kNoUpstream && routeAllows(packet.flow.destination, accepted)) {
+        if (accepted != flow.upstream) {
+            rebind(flow, accepted);
+        }
+        return true;
+    }
+    return !flow.synSent || packet.rst || packet.token == 0;
+}
+
+// Further copies than a client sends are not recorded.
+void FlowSteering::recordSynTarget(SteeredFlow &flow)
+{
+    for (auto &target : flow.synTargets) {
+        if (target == kNoUpstream || target == flow.upstream) {
+            target = flow.upstream;
+            return;
+        }
+    }
+}
+
+// Each other upstream that got a copy of the SYN may have responded as well. It repeats its SYN-ACK as long as nothing acknowledges it.
+void FlowSteering::finishHandshake(SteeredFlow &flow, const FlowPacket &packet, Time now)
+{
+    flow.synSent = false;
+    flow.pinned = true;
+    flow.acknowledged = packet.acknowledged;
+    onProgress(flow, now);
+    if (packet.token != 0 && !packet.rst) {
+        directory_.confirmAddress(flow.upstream, now);
+    }
+    for (const auto target : flow.synTargets) {
+        if (target != kNoUpstream && target != flow.upstream && !packet.rst) {
+            supersededSyns_.push_back({packet.flow, target, flow.upstream});
+        }
+    }
+}
+
+// A late copy of the SYN of an open flow must not bring back the opening token.
+FlowToken FlowSteering::tokenFor(const FlowPacket &packet, UpstreamIndex upstream) const
+{
+    const auto token = directory_.at(upstream).token;
+    const auto *flow = packet.syn ? findFlow(packet.flow) : nullptr;
+    const bool isOpening = packet.syn && (flow == nullptr || flow->synSent);
+    return isOpening ? openingToken(token, packet.sequence + 1) : token;
+}
+
+std::vector<SupersededSyn> FlowSteering::takeSupersededSyns()
+{
+    return std::exchange(supersededSyns_, {});
+}
+
+} // namespace medlarway
--- a/tests/soak/platform.cpp
+++ b/tests/soak/platform.cpp
@@ -301,7 +301,7 @@
     const auto &entry = entries.at(selector % entries.size());
     // A complete entry under the id of an upstream would be that upstream's own.
     const bool ofUpstream = selector % entries.size() != 0 && (selector >> 32U) % 2 == 0;
-    const auto id = ofUpstream ? upstreamId : fmt::format("i-{:x}", kFirstOddNumber + ++lastOddId_);
+    auto id = ofUpstream ? upstreamId : fmt::format("i-{:x}", kFirstOddNumber + ++lastOddId_);
     runOnThread([&] { store_.put("servers/" + id, entry); });
     return id;
 }
