--- a/src/entry/syn_copies.h
+++ b/src/entry/syn_copies.h
@@ -6,7 +6,6 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <chrono>
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <vector>
 
