logs: a line at the very start of a process, and what the start cost

Change: event 107 is written before the settings are read; 100 says how long the start took and how much processor time it used, with the loading of the libraries. Both kinds of host log to standard output, as the kind is not known yet at the first line.

--- a/scripts/measure-rest.sh
+++ b/scripts/measure-rest.sh
@@ -35,7 +35,7 @@
 hosts:
 $hosts
 YAML
-    "$bin/daemon/medlarwayd" --settings "$folder/$i.yaml" 2> "$folder/log$i" &
+    "$bin/daemon/medlarwayd" --settings "$folder/$i.yaml" > "$folder/log$i" &
     pids+=($!)
 done
 sample() {
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -106,7 +106,7 @@
 "$tool" check-catalogue "$folder/catalogue.yaml"
 
 echo "== the daemon"
-"$daemon" --settings "$folder/medlarwayd.yaml" 2>"$folder/daemon.log" &
+"$daemon" --settings "$folder/medlarwayd.yaml" >"$folder/daemon.log" 2>&1 &
 daemon_process=$!
 started+=("$daemon_process")
 wait_for curl --silent --fail "http://$operator/readyz"
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "base/version.h"
 #include "platform/file_source.h"
 #include "settings/settings_file.h"
+#include "startup/start_cost.h"
 #include "yaml/fault.h"
 #include "yaml/scalars.h"
 
@@ -71,9 +72,11 @@
     control_.start([this](std::vector<WatchedKey> keys) { platform_.setWatchedKeys(std::move(keys)); });
     platform_.start();
     operator_.start();
+    const auto cost = startCost();
     logEvent(Event::Started, {field("version", kVersion), field("address", addressToString(settings_.address)),
                               field("zone", settings_.zone.name), field("operator", endpointToString(settings_.operatorListen)),
-                              field("peers", settings_.peers ? endpointToString(settings_.peers->listen) : "none")});
+                              field("peers", settings_.peers ? endpointToString(settings_.peers->listen) : "none"),
+                              field("start-ms", inMilliseconds(cost.elapsed)), field("cpu-ms", inMilliseconds(cost.processorTime))});
     awaitSignal();
     context_.run();
     // Step 2 of the planned stop, after the drain: announce it to the peers, then stop each worker before those it calls.
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,8 @@
+#include "base/log.h"
 #include "base/version.h"
 #include "daemon/daemon.h"
 #include "entry/entry_host.h"
+#include "startup/start_cost.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -9,6 +11,7 @@
 #include <csignal>
 #include <fmt/format.h>
 #include <string>
+#include <unistd.h>
 
 ABSL_FLAG(std::string, settings, "", "the YAML file with this host's settings");
 
@@ -26,5 +29,7 @@
     }
     // A write to a closed connection must fail with an error rather than kill the process.
     std::signal(SIGPIPE, SIG_IGN);
+    medlarway::setLogDescriptor(STDOUT_FILENO);
+    medlarway::beginStart();
     return medlarway::isEntryFile(settings) ? medlarway::runEntryHost(settings) : static_cast<int>(medlarway::runDaemon(settings));
 }
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -9,12 +9,12 @@
 #include "peering/codec.h"
 #include "peering/key_file.h"
 #include "platform/readiness.h"
+#include "startup/start_cost.h"
 #include "yaml/fault.h"
 
 #include <csignal>
 #include <exception>
 #include <fmt/format.h>
-#include <unistd.h>
 #include <utility>
 
 namespace medlarway
@@ -121,8 +121,10 @@
     controlServer_.start();
     awaitSignal();
     onTick();
+    const auto cost = startCost();
     logEvent(Event::Started, {field("version", kVersion), field("host", settings_.name), field("zone", settings_.zone.name),
-                              field("packets", endpointToString(settings_.packets)), field("store", endpointToString(settings_.store))});
+                              field("packets", endpointToString(settings_.packets)), field("store", endpointToString(settings_.store)),
+                              field("start-ms", inMilliseconds(cost.elapsed)), field("cpu-ms", inMilliseconds(cost.processorTime))});
     context_.run();
     logEvent(Event::Stopped, {field("packets", packets_.counts().received), field("flows", steering_.flowCount())});
 }
@@ -476,7 +478,6 @@
 
 int runEntryHost(const std::string &settingsFile)
 {
-    setLogDescriptor(STDOUT_FILENO);
     try {
         const auto settings = loadEntrySettings(settingsFile);
         setLogLevel(settings.logLevel);
