--- a/tests/daemon/daemon_process.cpp
+++ b/tests/daemon/daemon_process.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <sys/wait.h>
 #include <thread>
@@ -53,13 +54,49 @@
     return fmt::format("127.{}.{}.{}", 16 + process / 256 % 224, process % 256, number);
 }
 
+DaemonFolder::DaemonFolder()
+    : path_(makeTempFolder())
+{
+}
+
+DaemonFolder::~DaemonFolder()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+}
+
+void DaemonFolder::write(const std::string &file, const std::string &text) const
+{
+    const auto path = path_ + "/" + file;
+    std::ofstream(path + ".new") << text;
+    std::filesystem::rename(path + ".new", path);
+}
+
+void DaemonFolder::writeInPlace(const std::string &file, const std::string &text, std::chrono::milliseconds pauseAfterLine) const
+{
+    std::ofstream stream(path_ + "/" + file);
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        stream << line << std::endl;
+        std::this_thread::sleep_for(pauseAfterLine);
+    }
+}
+
 DaemonProcess::DaemonProcess(const std::string &settings, const std::string &catalogue)
-    : folder_(makeTempFolder())
+    : DaemonProcess([&] {
+        const auto folder = std::make_shared<DaemonFolder>();
+        folder->write("catalogue.yaml", catalogue);
+        folder->write("settings.yaml", settings);
+        return folder;
+    }())
+{
+}
+
+DaemonProcess::DaemonProcess(std::shared_ptr<const DaemonFolder> folder)
+    : folder_(std::move(folder))
 {
-    write("catalogue.yaml", catalogue);
-    write("settings.yaml", settings);
-    const auto settingsFile = folder_ + "/settings.yaml";
-    const auto logFile = folder_ + "/log";
+    const auto settingsFile = folder_->path() + "/settings.yaml";
+    const auto logFile = folder_->path() + "/log";
     process_ = fork();
     if (process_ == 0) {
         execDaemon(settingsFile.c_str(), logFile.c_str());
@@ -76,15 +113,6 @@
         signal(SIGKILL);
         waitpid(process_, nullptr, 0);
     }
-    std::error_code ignored;
-    std::filesystem::remove_all(folder_, ignored);
-}
-
-void DaemonProcess::write(const std::string &file, const std::string &text) const
-{
-    const auto path = folder_ + "/" + file;
-    std::ofstream(path + ".new") << text;
-    std::filesystem::rename(path + ".new", path);
 }
 
 bool DaemonProcess::waitReady(const std::string &operatorAddress, std::chrono::seconds limit) const
@@ -115,7 +143,7 @@
 
 std::string DaemonProcess::log() const
 {
-    return readTextFile(folder_ + "/log", kMaxLogBytes).value_or("");
+    return readTextFile(folder_->path() + "/log", kMaxLogBytes).value_or("");
 }
 
 std::string DaemonProcess::logTail() const
--- a/tests/daemon/daemon_process.h
+++ b/tests/daemon/daemon_process.h
@@ -3,6 +3,7 @@
 #include "base/endpoint.h"
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -14,19 +15,48 @@
 /// A loopback address that no other test process uses, one for each number from 1 to 250.
 std::string loopbackAddress(int number);
 
-/// A real medlarwayd process with a temporary folder. The destructor kills the process if it still runs and removes the
-/// folder.
+/// A temporary folder with the files of a process, which the destructor removes.
+class DaemonFolder
+{
+public:
+    DaemonFolder();
+    ~DaemonFolder();
+    DaemonFolder(const DaemonFolder &) = delete;
+    DaemonFolder &operator=(const DaemonFolder &) = delete;
+
+    /// Replaces a file atomically, by a rename.
+    void write(const std::string &file, const std::string &text) const;
+
+    /// Truncates a file and writes its lines one by one.
+    void writeInPlace(const std::string &file, const std::string &text, std::chrono::milliseconds pauseAfterLine) const;
+
+    const std::string &path() const
+    {
+        return path_;
+    }
+
+private:
+    std::string path_;
+};
+
+/// A real medlarwayd process with a temporary folder. The destructor kills the process if it still runs.
 class DaemonProcess
 {
 public:
-    /// Writes settings.yaml and catalogue.yaml to the folder and starts the process.
+    /// Writes settings.yaml and catalogue.yaml to a folder and starts the process.
     DaemonProcess(const std::string &settings, const std::string &catalogue);
+
+    /// Starts the process with the settings.yaml that the folder has or will have.
+    explicit DaemonProcess(std::shared_ptr<const DaemonFolder> folder);
     ~DaemonProcess();
     DaemonProcess(const DaemonProcess &) = delete;
     DaemonProcess &operator=(const DaemonProcess &) = delete;
 
     /// Replaces a file of the folder atomically, by a rename.
-    void write(const std::string &file, const std::string &text) const;
+    void write(const std::string &file, const std::string &text) const
+    {
+        folder_->write(file, text);
+    }
 
     /// Waits until /readyz at the operator address responds with "ready"; false after the time limit.
     bool waitReady(const std::string &operatorAddress, std::chrono::seconds limit = std::chrono::seconds{10}) const;
@@ -45,11 +75,11 @@
 
     const std::string &folder() const
     {
-        return folder_;
+        return folder_->path();
     }
 
 private:
-    std::string folder_;
+    std::shared_ptr<const DaemonFolder> folder_;
     pid_t process_ = -1;
     std::optional<int> exitCode_;
 };
--- a/tests/daemon/entry_process.h
+++ b/tests/daemon/entry_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/endpoint.h"
+#include "daemon/caller.h"
 
 #include <cstdint>
 #include <fmt/format.h>
@@ -21,8 +22,14 @@
 inline std::string entrySettingsText(const std::string &address, const std::string &zone, const Endpoint &store, const std::string &seed)
 {
     return fmt::format("entry:\n  name: \"{0}\"\n  zone: {1}\n  packets: \"{0}:{2}\"\n  ready: \"{0}:{3}\"\n  control: \"{0}:{4}\"\n"
-                       "  store: \"{5}\"\n  peers: \"{0}:28200\"\n  seeds: [\"{6}:{4}\"]\n  grace-seconds: {7}\n",
+                       "  store: \"{5}\"\n  peers: \"{0}:28200\"\n  seeds: [\"{6}:{4}\"]\n  grace-seconds: {7}\n...\n",
                        address, zone, kPacketPort, kReadyPort, kControlPort, endpointToString(store), seed, kEntryGraceSeconds);
 }
 
+/// Whether an entry host responds on its control address; it may not be ready yet.
+inline bool entryServes(const std::string &address)
+{
+    return httpRequest(fmt::format("{}:{}", address, kControlPort), "/state").status == 200;
+}
+
 } // namespace medlarway
--- a/tests/daemon/single_host_test.cpp
+++ b/tests/daemon/single_host_test.cpp
@@ -28,7 +28,7 @@
 std::string settingsText(const Addresses &addresses, const std::string &more = {}, const std::string &feedGrace = "3s")
 {
     return fmt::format("host: {{address: {}, zone: a}}\noperator: {{listen: {}}}\nplatform: {{catalogue-file: catalogue.yaml}}\n"
-                       "graces: {{requests: 5s, feeds: {}}}\n{}",
+                       "graces: {{requests: 5s, feeds: {}}}\n{}...\n",
                        addresses.host, addresses.operatorAddress, feedGrace, more);
 }
 
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -106,7 +106,7 @@
                                       "peers: {{listen: \"{0}:9701\", advertise: \"{0}:9700\", key-file: {2}/key}}\n"
                                       "platform: {{catalogue-file: {2}/catalogue{3}.yaml}}\n"
                                       "guard: {{window: 4s, list-give-up: 0s}}\n"
-                                      "graces: {{requests: 10s, feeds: 2s}}\n{4}",
+                                      "graces: {{requests: 10s, feeds: 2s}}\n{4}...\n",
                                       address, zoneOf(host), folder_, host, hostListText());
     processes_.erase(host);
     processes_.emplace(host, std::make_unique<DaemonProcess>(settings, ""));
