startup: signals wait from main() on until the host handles them

Callers saw: a host that got SIGHUP or SIGTERM in the first milliseconds of its processor time ended, without a line, and was out of service until its supervisor had started it again; one that was signalled twice could end by the second signal instead of with status 0. Cause: handlers were installed by the host's constructor, after the settings had been read, and were removed by its destructor before the exit. In both spans the default action of SIGHUP, SIGINT and SIGTERM ends the process. Class: a signal whose disposition is set later than the signal can come. Change: main() blocks the three signals first; ProcessSignals installs the handlers before anything else and keeps them, and what comes before a host runs, until it asks; they are blocked again before the handlers go. The context is main()'s, so the handlers outlive every host. What remains: before main(), while the libraries are loaded, no program can keep a signal.

--- a/src/ctl/check_settings_command.cpp
+++ b/src/ctl/check_settings_command.cpp
@@ -3,6 +3,7 @@
 #include "ctl/command.h"
 #include "settings/entry_settings.h"
 #include "settings/settings_file.h"
+#include "settings/settings_text.h"
 
 #include <fmt/format.h>
 
@@ -17,10 +18,11 @@
     }
     try {
         const auto &file = parsed->positional[0];
-        if (isEntryFile(file)) {
-            loadEntrySettings(file);
+        const auto text = loadSettingsText(file);
+        if (hasEntrySettings(text)) {
+            entrySettingsFrom(text, file);
         } else {
-            loadSettings(file);
+            settingsFrom(text, file);
         }
     } catch (const Error &error) {
         fmt::print(stderr, "{}\n", error.what());
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,13 +4,14 @@
 #include "base/version.h"
 #include "platform/file_source.h"
 #include "settings/settings_file.h"
+#include "settings/settings_text.h"
 #include "startup/start_cost.h"
 #include "yaml/fault.h"
 #include "yaml/scalars.h"
 
 #include <csignal>
-#include <exception>
 #include <fmt/format.h>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -55,10 +56,10 @@
 
 } // namespace
 
-Daemon::Daemon(std::string settingsFile, const Settings &settings)
-    : settingsFile_(std::move(settingsFile))
+Daemon::Daemon(boost::asio::io_context &context, std::string settingsFile, const Settings &settings)
+    : context_(context)
+    , settingsFile_(std::move(settingsFile))
     , settings_(settings)
-    , signals_(context_, SIGTERM, SIGINT, SIGHUP)
     , drainTimer_(context_)
     , control_(settings, engine_)
     , engine_(proxyOptions(settings), control_.ports())
@@ -67,7 +68,7 @@
 {
 }
 
-void Daemon::run()
+void Daemon::run(ProcessSignals &signals)
 {
     control_.start([this](std::vector<WatchedKey> keys) { platform_.setWatchedKeys(std::move(keys)); });
     platform_.start();
@@ -77,7 +78,7 @@
                               field("zone", settings_.zone.name), field("operator", endpointToString(settings_.operatorListen)),
                               field("peers", settings_.peers ? endpointToString(settings_.peers->listen) : "none"),
                               field("start-ms", inMilliseconds(cost.elapsed)), field("cpu-ms", inMilliseconds(cost.processorTime))});
-    awaitSignal();
+    signals.setHandler([this](int signal) { onSignal(signal); });
     context_.run();
     // Step 2 of the planned stop, after the drain: announce it to the peers, then stop each worker before those it calls.
     control_.depart();
@@ -87,17 +88,6 @@
     logEvent(Event::Stopped);
 }
 
-void Daemon::awaitSignal()
-{
-    signals_.async_wait([this](const boost::system::error_code &error, int signal) {
-        if (error) {
-            return;
-        }
-        onSignal(signal);
-        awaitSignal();
-    });
-}
-
 void Daemon::onSignal(int signal)
 {
     if (signal == SIGHUP) {
@@ -135,22 +125,26 @@
 void Daemon::reloadSettings()
 {
     try {
-        const auto loaded = loadSettings(settingsFile_);
-        const auto needRestart = changesThatNeedRestart(settings_, loaded);
-        settings_.logLevel = loaded.logLevel;
-        settings_.drainTimeouts = loaded.drainTimeouts;
-        if (settings_.peers && loaded.peers) {
-            settings_.peers->bytesPerSecond = loaded.peers->bytesPerSecond;
-            settings_.peers->requestBytesPerSecond = loaded.peers->requestBytesPerSecond;
-        }
-        setLogLevel(settings_.logLevel);
-        control_.applySettings(settings_);
-        logEvent(Event::SettingsReloaded, {field("needs-restart", needRestart.empty() ? "nothing" : joinNames(needRestart))});
+        applySettings(settingsFrom(loadSettingsText(settingsFile_), settingsFile_));
     } catch (const Error &error) {
         reportError(error.kind(), faultsOnOneLine(error.what()));
     }
 }
 
+void Daemon::applySettings(const Settings &wanted)
+{
+    const auto needRestart = changesThatNeedRestart(settings_, wanted);
+    settings_.logLevel = wanted.logLevel;
+    settings_.drainTimeouts = wanted.drainTimeouts;
+    if (settings_.peers && wanted.peers) {
+        settings_.peers->bytesPerSecond = wanted.peers->bytesPerSecond;
+        settings_.peers->requestBytesPerSecond = wanted.peers->requestBytesPerSecond;
+    }
+    setLogLevel(settings_.logLevel);
+    control_.applySettings(settings_);
+    logEvent(Event::SettingsReloaded, {field("needs-restart", needRestart.empty() ? "nothing" : joinNames(needRestart))});
+}
+
 OperatorPorts Daemon::operatorPorts()
 {
     OperatorPorts ports;
@@ -201,25 +195,20 @@
     return state.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-ExitCode runDaemon(const std::string &settingsFile)
+HostPlan planDaemon(boost::asio::io_context &context, ProcessSignals &signals, const std::string &settingsFile, const std::string &text)
 {
-    try {
-        const auto settings = loadSettings(settingsFile);
-        setLogLevel(settings.logLevel);
+    const auto settings = settingsFrom(text, settingsFile);
+    setLogLevel(settings.logLevel);
+    HostPlan plan;
+    plan.stopTime = settings.drainTimeouts.requests;
+    plan.open = [&context, &signals, settingsFile, settings] {
         if (!settings.platform.catalogueFile.empty()) {
             loadCatalogueFile(settings.platform.catalogueFile);
         }
-        Daemon daemon(settingsFile, settings);
-        daemon.run();
-        return ExitCode::Stopped;
-    } catch (const Error &error) {
-        reportError(error.kind(), faultsOnOneLine(error.what()));
-        const auto badInput = error.kind() == ErrorKind::BadSettings || error.kind() == ErrorKind::BadCatalogue;
-        return badInput ? ExitCode::BadInput : ExitCode::Failed;
-    } catch (const std::exception &exception) {
-        logEvent(Event::FatalError, {field("detail", exception.what())});
-        return ExitCode::Failed;
-    }
+        const auto daemon = std::make_shared<Daemon>(context, settingsFile, settings);
+        return [daemon, &signals] { daemon->run(signals); };
+    };
+    return plan;
 }
 
 } // namespace medlarway
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -9,12 +9,13 @@
 #include "peering/codec.h"
 #include "peering/key_file.h"
 #include "platform/readiness.h"
+#include "settings/settings_text.h"
 #include "startup/start_cost.h"
 #include "yaml/fault.h"
 
 #include <csignal>
-#include <exception>
 #include <fmt/format.h>
+#include <memory>
 #include <utility>
 
 namespace medlarway
@@ -90,11 +91,11 @@
 
 } // namespace
 
-EntryHost::EntryHost(std::string settingsFile, const EntrySettings &settings)
-    : settingsFile_(std::move(settingsFile))
+EntryHost::EntryHost(boost::asio::io_context &context, std::string settingsFile, const EntrySettings &settings)
+    : context_(context)
+    , settingsFile_(std::move(settingsFile))
     , settings_(settings)
     , timing_(timingFor({settings.drainBound, settings.configBound}))
-    , signals_(context_, SIGTERM, SIGINT, SIGHUP)
     , ticker_(context_)
     , steering_(steeringOptions(settings))
     , data_(steering_)
@@ -109,7 +110,7 @@
 {
 }
 
-void EntryHost::run()
+void EntryHost::run(ProcessSignals &signals)
 {
     peerHosts_.setSeeds(settings_.seeds);
     feed_.setReading(false);
@@ -119,12 +120,12 @@
     packets_.start();
     readyServer_.start();
     controlServer_.start();
-    awaitSignal();
     onTick();
     const auto cost = startCost();
     logEvent(Event::Started, {field("version", kVersion), field("host", settings_.name), field("zone", settings_.zone.name),
                               field("packets", endpointToString(settings_.packets)), field("store", endpointToString(settings_.store)),
                               field("start-ms", inMilliseconds(cost.elapsed)), field("cpu-ms", inMilliseconds(cost.processorTime))});
+    signals.setHandler([this](int signal) { onSignal(signal); });
     context_.run();
     logEvent(Event::Stopped, {field("packets", packets_.counts().received), field("flows", steering_.flowCount())});
 }
@@ -423,16 +424,6 @@
     return {kStatusOk, "application/cbor", encodeMessage(snapshot)};
 }
 
-void EntryHost::awaitSignal()
-{
-    signals_.async_wait([this](const boost::system::error_code &error, int signal) {
-        if (!error) {
-            onSignal(signal);
-            awaitSignal();
-        }
-    });
-}
-
 void EntryHost::onSignal(int signal)
 {
     if (signal == SIGHUP) {
@@ -445,21 +436,24 @@
 void EntryHost::reloadSettings()
 {
     try {
-        const auto wanted = loadEntrySettings(settingsFile_);
-        const auto restart = changesThatNeedRestart(settings_, wanted);
-        settings_.logLevel = wanted.logLevel;
-        settings_.gracePeriod = wanted.gracePeriod;
-        settings_.seeds = wanted.seeds;
-        peerHosts_.setSeeds(settings_.seeds);
-        peerFeed_.setSeeds(seedIds(settings_));
-        setLogLevel(settings_.logLevel);
-        logEvent(Event::SettingsReloaded,
-                 {field("needs-restart", restart.empty() ? "nothing" : fmt::format("{}", fmt::join(restart, ",")))});
+        applySettings(entrySettingsFrom(loadSettingsText(settingsFile_), settingsFile_));
     } catch (const Error &error) {
         reportError(error.kind(), faultsOnOneLine(error.what()));
     }
 }
 
+void EntryHost::applySettings(const EntrySettings &wanted)
+{
+    const auto restart = changesThatNeedRestart(settings_, wanted);
+    settings_.logLevel = wanted.logLevel;
+    settings_.gracePeriod = wanted.gracePeriod;
+    settings_.seeds = wanted.seeds;
+    peerHosts_.setSeeds(settings_.seeds);
+    peerFeed_.setSeeds(seedIds(settings_));
+    setLogLevel(settings_.logLevel);
+    logEvent(Event::SettingsReloaded, {field("needs-restart", restart.empty() ? "nothing" : fmt::format("{}", fmt::join(restart, ",")))});
+}
+
 // The host stops being ready first and keeps forwarding packets until the routers have stopped sending to it.
 void EntryHost::startStop(int signal)
 {
@@ -476,21 +470,17 @@
     return since >= settings_.gracePeriod - kGraceMargin || (since >= kRouterFailoverTime && now - lastPacketAt_ >= kQuietBeforeExit);
 }
 
-int runEntryHost(const std::string &settingsFile)
+HostPlan planEntryHost(boost::asio::io_context &context, ProcessSignals &signals, const std::string &settingsFile, const std::string &text)
 {
-    try {
-        const auto settings = loadEntrySettings(settingsFile);
-        setLogLevel(settings.logLevel);
-        EntryHost host(settingsFile, settings);
-        host.run();
-        return 0;
-    } catch (const Error &error) {
-        reportError(error.kind(), faultsOnOneLine(error.what()));
-        return error.kind() == ErrorKind::BadSettings ? 2 : 1;
-    } catch (const std::exception &exception) {
-        logEvent(Event::FatalError, {field("detail", exception.what())});
-        return 1;
-    }
+    const auto settings = entrySettingsFrom(text, settingsFile);
+    setLogLevel(settings.logLevel);
+    HostPlan plan;
+    plan.stopTime = settings.gracePeriod;
+    plan.open = [&context, &signals, settingsFile, settings] {
+        const auto host = std::make_shared<EntryHost>(context, settingsFile, settings);
+        return [host, &signals] { host->run(signals); };
+    };
+    return plan;
 }
 
 } // namespace medlarway
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -13,10 +13,10 @@
 #include "platform/packet_layout.h"
 #include "platform/store_feed.h"
 #include "settings/entry_settings.h"
+#include "startup/start.h"
 #include "steering/flow_steering.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <string>
 #include <vector>
@@ -30,19 +30,19 @@
 {
 public:
     /// Binds the sockets. Throws Error.
-    EntryHost(std::string settingsFile, const EntrySettings &settings);
+    EntryHost(boost::asio::io_context &context, std::string settingsFile, const EntrySettings &settings);
 
     /// Runs until a SIGTERM or SIGINT and the shutdown that follows it.
-    void run();
+    void run(ProcessSignals &signals);
 
 private:
     void onBatch(std::span<std::span<std::uint8_t>> datagrams, std::vector<OutgoingPacket> &outgoing);
     void onDatagram(std::span<std::uint8_t> datagram, std::vector<OutgoingPacket> &outgoing, Time now);
     void sendSynsAgain(std::vector<OutgoingPacket> &outgoing, Time now);
     void onTick();
-    void awaitSignal();
     void onSignal(int signal);
     void reloadSettings();
+    void applySettings(const EntrySettings &wanted);
     void startStop(int signal);
     bool canExit(Time now) const;
     bool ready() const;
@@ -62,11 +62,10 @@
     PageResponse serveReady(const std::string &target) const;
     PageResponse serveControl(const std::string &target);
 
+    boost::asio::io_context &context_;
     std::string settingsFile_;
     EntrySettings settings_;
     ReplicationTiming timing_;
-    boost::asio::io_context context_{1};
-    boost::asio::signal_set signals_;
     boost::asio::steady_timer ticker_;
     FlowSteering steering_;
     PlatformData data_;
@@ -90,7 +89,7 @@
     Time lastPacketAt_;
 };
 
-/// Runs an entry host with a settings file and returns the exit code. Never throws.
-int runEntryHost(const std::string &settingsFile);
+/// Plans an entry host from the text of its settings file. Throws Error(BadSettings).
+HostPlan planEntryHost(boost::asio::io_context &context, ProcessSignals &signals, const std::string &settingsFile, const std::string &text);
 
 } // namespace medlarway
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -2,7 +2,6 @@
 
 #include "base/errors.h"
 #include "yaml/map_reader.h"
-#include "yaml/text_file.h"
 
 #include <charconv>
 #include <chrono>
@@ -16,7 +15,6 @@
 namespace
 {
 
-constexpr std::uint64_t kMaxFileBytes = 1ULL << 20U;
 constexpr std::size_t kMaxSeeds = 64;
 constexpr double kMaxGraceSeconds = 3600;
 constexpr double kMinBoundMs = 1000; // below, hosts could not confirm their data in time
@@ -82,11 +80,10 @@
 
 } // namespace
 
-bool isEntryFile(const std::string &path)
+bool hasEntrySettings(std::string_view text)
 {
-    const auto text = readTextFile(path, kMaxFileBytes);
     Faults faults;
-    const auto document = text ? readDocument(*text, faults) : std::nullopt;
+    const auto document = readDocument(text, faults);
     return document && document->IsMap() && (*document)["entry"];
 }
 
@@ -110,13 +107,9 @@
     return result;
 }
 
-EntrySettings loadEntrySettings(const std::string &path)
+EntrySettings entrySettingsFrom(std::string_view text, const std::string &path)
 {
-    const auto text = readTextFile(path, kMaxFileBytes);
-    if (!text) {
-        throw Error(ErrorKind::BadSettings, path + ": can't be read or is longer than 1 MiB");
-    }
-    auto parsed = parseEntrySettings(*text);
+    auto parsed = parseEntrySettings(text);
     if (!parsed.value) {
         throw Error(ErrorKind::BadSettings, faultsToString(parsed.faults, path + ":"));
     }
--- a/src/settings/entry_settings.h
+++ b/src/settings/entry_settings.h
@@ -36,14 +36,14 @@
     friend bool operator==(const EntrySettings &, const EntrySettings &) = default;
 };
 
-/// Returns whether a file contains the settings of an entry host rather than of a proxy; false if it can't be read.
-bool isEntryFile(const std::string &path);
+/// Returns whether a text contains the settings of an entry host rather than of a proxy; false if it is not valid YAML. Never throws.
+bool hasEntrySettings(std::string_view text);
 
 /// Parses the settings of an entry host. Reports all errors, not only the first. Never throws.
 Parsed<EntrySettings> parseEntrySettings(std::string_view text);
 
-/// Loads the settings of an entry host from a file. Throws Error(BadSettings) with all errors, one per line.
-EntrySettings loadEntrySettings(const std::string &path);
+/// Returns the settings of an entry host that a file contains. Throws Error(BadSettings) with all errors, one per line.
+EntrySettings entrySettingsFrom(std::string_view text, const std::string &path);
 
 /// Returns the keys of the settings that differ and can only be changed by a restart; empty if there are none.
 std::vector<std::string> changesThatNeedRestart(const EntrySettings &running, const EntrySettings &wanted);
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -3,7 +3,6 @@
 #include "base/errors.h"
 #include "settings/settings_builder.h"
 #include "yaml/map_reader.h"
-#include "yaml/text_file.h"
 
 #include <chrono>
 #include <filesystem>
@@ -17,7 +16,6 @@
 using std::chrono::hours;
 using std::chrono::milliseconds;
 
-constexpr std::uint64_t kMaxFileBytes = 1ULL << 20U;
 constexpr std::size_t kMaxListedHosts = 4096;
 constexpr Range<std::uint32_t> kDataThreads{1, 64};
 constexpr Range<std::uint32_t> kPeerBytesPerSecond{1000, 1'000'000'000};
@@ -191,13 +189,9 @@
     return result;
 }
 
-Settings loadSettings(const std::string &path)
+Settings settingsFrom(std::string_view text, const std::string &path)
 {
-    const auto text = readTextFile(path, kMaxFileBytes);
-    if (!text) {
-        throw Error(ErrorKind::BadSettings, path + ": can't be read or is longer than 1 MiB");
-    }
-    auto parsed = parseSettings(*text);
+    auto parsed = parseSettings(text);
     if (!parsed.value) {
         throw Error(ErrorKind::BadSettings, faultsToString(parsed.faults, path + ":"));
     }
--- a/src/settings/settings_file.h
+++ b/src/settings/settings_file.h
@@ -12,8 +12,8 @@
 /// Parses settings from YAML text. Reports all errors, not only the first. Never throws.
 Parsed<Settings> parseSettings(std::string_view text);
 
-/// Loads a settings file. Relative paths in it are resolved against the folder of the file.
+/// Returns the settings that a file contains. Relative paths in them are resolved against the folder of the file.
 /// Throws Error(BadSettings) with all errors, one per line, each with file, line and column.
-Settings loadSettings(const std::string &path);
+Settings settingsFrom(std::string_view text, const std::string &path);
 
 } // namespace medlarway
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -2,6 +2,7 @@
 #include "settings/entry_settings.h"
 #include "settings/settings_builder.h"
 #include "settings/settings_file.h"
+#include "settings/settings_text.h"
 
 #include <doctest/doctest.h>
 
@@ -36,7 +37,7 @@
     }
     SUBCASE("accept every key of the example file")
     {
-        const auto settings = loadSettings("etc/medlarwayd.yaml");
+        const auto settings = settingsFrom(loadSettingsText("etc/medlarwayd.yaml"), "etc/medlarwayd.yaml");
         CHECK(settings.platform.catalogueFile == "etc/catalogue.yaml");
         REQUIRE(settings.peers);
         CHECK(settings.peers->keyFile == "etc/peers.key");
