--- a/src/yaml/text_file.cpp
+++ b/src/yaml/text_file.cpp
@@ -1,5 +1,6 @@
 #include "yaml/text_file.h"
 
+#include <array>
 #include <fstream>
 
 namespace medlarway
@@ -7,16 +8,17 @@
 
 std::optional<std::string> readTextFile(const std::string &path, std::uint64_t maxBytes)
 {
+    constexpr std::size_t kChunkBytes = 16U << 10U;
     std::ifstream file(path, std::ios::binary);
+    std::array<char, kChunkBytes> chunk{};
     std::string text;
-    // Requests one byte more than allowed, so that a file that grows while it is read is rejected too.
-    text.resize(maxBytes + 1);
-    file.read(text.data(), static_cast<std::streamsize>(text.size()));
-    text.resize(static_cast<std::size_t>(file.gcount()));
-    if (file.bad() || (!file.eof() && file.fail()) || !file.is_open() || text.size() > maxBytes) {
-        return std::nullopt;
+    // Stops above the limit, as a file that grows while it is read may never end.
+    while (file && text.size() <= maxBytes) {
+        file.read(chunk.data(), chunk.size());
+        text.append(chunk.data(), static_cast<std::size_t>(file.gcount()));
     }
-    return text;
+    const bool complete = file.eof() && !file.bad() && text.size() <= maxBytes;
+    return complete ? std::optional(std::move(text)) : std::nullopt;
 }
 
 } // namespace medlarway
