startup: settings are read once they are complete, and as a whole

Callers saw: a host that started while its settings were rewritten in place ended with status 2 and errors of the other kind of settings; one that was told to reload refused the half file, or would have taken a shorter list of seeds or a cut number from it. Cause: the file was read at one moment, twice at a start: for the kind of host and for its contents. Class: a reader that takes any state of a file that another process is writing for the whole. Change: one read decides both.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,7 +4,6 @@
 #include "base/version.h"
 #include "platform/file_source.h"
 #include "settings/settings_file.h"
-#include "settings/settings_text.h"
 #include "startup/start_cost.h"
 #include "yaml/fault.h"
 #include "yaml/scalars.h"
@@ -60,6 +59,7 @@
     : context_(context)
     , settingsFile_(std::move(settingsFile))
     , settings_(settings)
+    , settingsReader_(context_, settingsFile_)
     , drainTimer_(context_)
     , control_(settings, engine_)
     , engine_(proxyOptions(settings), control_.ports())
@@ -124,11 +124,15 @@
 
 void Daemon::reloadSettings()
 {
-    try {
-        applySettings(settingsFrom(loadSettingsText(settingsFile_), settingsFile_));
-    } catch (const Error &error) {
-        reportError(error.kind(), faultsOnOneLine(error.what()));
-    }
+    const auto refuse = [](const std::string &detail) { reportError(ErrorKind::BadSettings, faultsOnOneLine(detail)); };
+    const auto apply = [this, refuse](const std::string &text) {
+        try {
+            applySettings(settingsFrom(text, settingsFile_));
+        } catch (const Error &error) {
+            refuse(error.what());
+        }
+    };
+    settingsReader_.read(apply, refuse);
 }
 
 void Daemon::applySettings(const Settings &wanted)
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -6,6 +6,7 @@
 #include "daemon/platform_worker.h"
 #include "proxy/engine.h"
 #include "settings/settings.h"
+#include "startup/settings_reader.h"
 #include "startup/start.h"
 
 #include <atomic>
@@ -39,6 +40,7 @@
     boost::asio::io_context &context_;
     std::string settingsFile_;
     Settings settings_;
+    SettingsReader settingsReader_;
     std::atomic<bool> stopping_{false};
     boost::asio::steady_timer drainTimer_;
     // Declared in an order such that each worker is destroyed before those that it may still call.
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -9,7 +9,6 @@
 #include "peering/codec.h"
 #include "peering/key_file.h"
 #include "platform/readiness.h"
-#include "settings/settings_text.h"
 #include "startup/start_cost.h"
 #include "yaml/fault.h"
 
@@ -95,6 +94,7 @@
     : context_(context)
     , settingsFile_(std::move(settingsFile))
     , settings_(settings)
+    , settingsReader_(context_, settingsFile_)
     , timing_(timingFor({settings.drainBound, settings.configBound}))
     , ticker_(context_)
     , steering_(steeringOptions(settings))
@@ -435,11 +435,15 @@
 
 void EntryHost::reloadSettings()
 {
-    try {
-        applySettings(entrySettingsFrom(loadSettingsText(settingsFile_), settingsFile_));
-    } catch (const Error &error) {
-        reportError(error.kind(), faultsOnOneLine(error.what()));
-    }
+    const auto refuse = [](const std::string &detail) { reportError(ErrorKind::BadSettings, faultsOnOneLine(detail)); };
+    const auto apply = [this, refuse](const std::string &text) {
+        try {
+            applySettings(entrySettingsFrom(text, settingsFile_));
+        } catch (const Error &error) {
+            refuse(error.what());
+        }
+    };
+    settingsReader_.read(apply, refuse);
 }
 
 void EntryHost::applySettings(const EntrySettings &wanted)
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -13,6 +13,7 @@
 #include "platform/packet_layout.h"
 #include "platform/store_feed.h"
 #include "settings/entry_settings.h"
+#include "startup/settings_reader.h"
 #include "startup/start.h"
 #include "steering/flow_steering.h"
 
@@ -65,6 +66,7 @@
     boost::asio::io_context &context_;
     std::string settingsFile_;
     EntrySettings settings_;
+    SettingsReader settingsReader_;
     ReplicationTiming timing_;
     boost::asio::steady_timer ticker_;
     FlowSteering steering_;
--- a/src/startup/start.cpp
+++ b/src/startup/start.cpp
@@ -1,13 +1,14 @@
 #include "startup/start.h"
 
 #include "base/errors.h"
-#include "settings/settings_text.h"
+#include "startup/settings_reader.h"
 #include "yaml/fault.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <exception>
+#include <optional>
 
 namespace medlarway
 {
@@ -45,7 +46,7 @@
     Start(boost::asio::io_context &context, ProcessSignals &signals, const std::string &settingsFile, const PlanHost &planHost)
         : context_(context)
         , planHost_(planHost)
-        , settingsFile_(settingsFile)
+        , settings_(context, settingsFile)
         , timer_(context)
     {
         signals.setHandler([this](int signal) { (signal == SIGHUP ? reloadRequested_ : stopRequested_) = true; });
@@ -55,12 +56,13 @@
     void run();
 
 private:
+    std::optional<std::string> awaitSettings();
     std::function<void()> openHost(const HostPlan &plan);
     void waitBeforeRetry();
 
     boost::asio::io_context &context_;
     const PlanHost &planHost_;
-    const std::string &settingsFile_;
+    SettingsReader settings_;
     boost::asio::steady_timer timer_;
     bool stopRequested_ = false;
     bool reloadRequested_ = false;
@@ -71,8 +73,11 @@
 {
     while (!stopRequested_) {
         // Step 1. The settings, and what they ask for.
-        reloadRequested_ = false;
-        const auto plan = planHost_(loadSettingsText(settingsFile_));
+        const auto text = awaitSettings();
+        if (!text) {
+            break;
+        }
+        const auto plan = planHost_(*text);
         // Step 2. The addresses. A change of the settings may name others.
         if (const auto runHost = openHost(plan)) {
             runHost();
@@ -82,6 +87,23 @@
     logEvent(Event::Stopped);
 }
 
+// Returns nullopt if a stop was requested.
+std::optional<std::string> Start::awaitSettings()
+{
+    std::optional<std::string> text;
+    std::optional<std::string> failure;
+    reloadRequested_ = false;
+    settings_.read([&](const std::string &complete) { text = complete; }, [&](const std::string &detail) { failure = detail; });
+    while (!text && !failure && !stopRequested_) {
+        context_.run_one();
+    }
+    settings_.cancel();
+    if (failure) {
+        throw Error(ErrorKind::BadSettings, *failure);
+    }
+    return stopRequested_ ? std::nullopt : text;
+}
+
 // Returns no function if a stop was requested, or that the settings be read again.
 std::function<void()> Start::openHost(const HostPlan &plan)
 {
