startup: a comment may follow the marker of the end; processor time by getrusage

Cause: a last line such as '... # end' is the marker too, but the file counted as unmarked and was awaited for a second. Change: the marker is recognised with what may follow it; cpu-ms comes from getrusage.

--- a/src/startup/complete_text.cpp
+++ b/src/startup/complete_text.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr std::string_view kBlanks = " \t\r\n";
+constexpr std::string_view kDocumentEnd = "...";
 
 std::string_view lastLineOf(std::string_view text)
 {
@@ -17,6 +18,12 @@
     return text.substr(text.find_last_of('\n') + 1); // npos + 1 is 0
 }
 
+// A comment may follow the marker.
+bool isDocumentEnd(std::string_view line)
+{
+    return line.starts_with(kDocumentEnd) && line.substr(kDocumentEnd.size()).find_first_not_of(kBlanks) != 0;
+}
+
 } // namespace
 
 TextState CompleteText::offer(std::optional<std::string> text, Time now)
@@ -29,7 +36,7 @@
     if (lastLine.empty()) {
         return TextState::Missing;
     }
-    return lastLine == "..." || now - unchangedSince_ >= kSettleTime ? TextState::Complete : TextState::Unsettled;
+    return isDocumentEnd(lastLine) || now - unchangedSince_ >= kSettleTime ? TextState::Complete : TextState::Unsettled;
 }
 
 } // namespace medlarway
--- a/src/startup/start_cost.cpp
+++ b/src/startup/start_cost.cpp
@@ -3,7 +3,7 @@
 #include "base/log.h"
 #include "base/version.h"
 
-#include <ctime>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace medlarway
@@ -28,8 +28,10 @@
 
 StartCost startCost()
 {
-    const std::chrono::duration<double> processorTime(static_cast<double>(std::clock()) / CLOCKS_PER_SEC);
-    return {monotonicNow() - startedAt(), std::chrono::duration_cast<Duration>(processorTime)};
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto asDuration = [](const timeval &time) { return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec); };
+    return {monotonicNow() - startedAt(), asDuration(usage.ru_utime) + asDuration(usage.ru_stime)};
 }
 
 } // namespace medlarway
--- a/tests/startup/complete_text_test.cpp
+++ b/tests/startup/complete_text_test.cpp
@@ -11,6 +11,8 @@
     SUBCASE("is complete at once if it ends with the marker of a document's end")
     {
         CHECK(text.offer("a: 1\n...\n", start) == TextState::Complete);
+        CHECK(text.offer("a: 1\r\n...\r\n", start) == TextState::Complete);
+        CHECK(text.offer("a: 1\n... # the end\n", start) == TextState::Complete);
         CHECK(text.offer("a: 1\nb: 2\n...", start) == TextState::Complete);
         CHECK(text.text() == "a: 1\nb: 2\n...");
     }
@@ -32,5 +34,6 @@
     {
         CHECK(text.offer("a: ...\n", start) == TextState::Unsettled);
         CHECK(text.offer("a: |\n  ...\n", start) == TextState::Unsettled);
+        CHECK(text.offer("....\n", start) == TextState::Unsettled);
     }
 }
