--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -79,6 +79,7 @@
 operator: {listen: $operator}
 platform: {catalogue-file: catalogue.yaml}
 graces: {requests: 5s, feeds: 2s}
+...
 END
 
 service() { # NAME CLASS KIND ADDRESS: prints one entry of the catalogue
@@ -170,6 +171,7 @@
   store: $store
   peers: $peers
   grace-seconds: 4
+...
 END
 "$tool" check-settings "$folder/entry.yaml"
 "$daemon" --settings "$folder/entry.yaml" >"$folder/entry.log" 2>&1 &
