peering: the relay socket receives from start() on, not from its construction

Callers saw: nothing yet; found by the review of the wait for addresses. A host whose control or ready address was still taken while peers sent it datagrams hung for good with a processor in use: a datagram between the bind and the failure of a later bind left a handler of the released host in the context, which the wait ran. Cause: the constructor of RelaySocket started an asynchronous operation; with one try before the exit that was harmless. Class: an operation that outlives an object whose construction did not finish. Change: the socket receives after start(), which the feed and the relay worker call; no constructor of a host starts an operation on the shared context any more. An error of open() is no longer replaced by that of bind().

--- a/src/daemon/relay_worker.cpp
+++ b/src/daemon/relay_worker.cpp
@@ -27,6 +27,7 @@
 
 void RelayWorker::start()
 {
+    socket_.start();
     thread_.start();
 }
 
--- a/src/entry/peer_feed.cpp
+++ b/src/entry/peer_feed.cpp
@@ -68,6 +68,7 @@
 
 void PeerFeed::start()
 {
+    socket_.start();
     update();
 }
 
--- a/src/peering/relay_socket.cpp
+++ b/src/peering/relay_socket.cpp
@@ -27,12 +27,18 @@
 {
     boost::system::error_code error;
     socket_.open(udp::v4(), error);
-    socket_.bind(asioEndpoint(listen), error);
+    if (!error) {
+        socket_.bind(asioEndpoint(listen), error);
+    }
     if (error) {
         throw Error(ErrorKind::AddressTaken, "peers' datagram port " + endpointToString(listen) + ": " + error.message());
     }
     socket_.non_blocking(true);
     socket_.set_option(boost::asio::socket_base::receive_buffer_size(kSocketBufferBytes), error);
+}
+
+void RelaySocket::start()
+{
     receiveNext();
 }
 
--- a/src/peering/relay_socket.h
+++ b/src/peering/relay_socket.h
@@ -22,9 +22,12 @@
 public:
     using Handler = std::function<void(std::string_view sealed)>;
 
-    /// Binds the endpoint and starts to receive; calls the handler for each datagram. Throws Error(AddressTaken).
+    /// Binds the endpoint. Throws Error(AddressTaken).
     RelaySocket(boost::asio::io_context &context, const Endpoint &listen, Handler handler);
 
+    /// Starts to receive; calls the handler for each datagram.
+    void start();
+
     /// Sends without blocking; returns false if the datagram is too large or the system doesn't accept it.
     bool send(HostId to, std::string_view sealed);
 
