startup: a SIGHUP joins the read of the settings that is in progress

Callers saw: nothing yet; found by the review. Without the marker of the end, SIGHUPs in shorter intervals than a second held up a reload or a start without a bound, and a reload in progress was carried out twice. Cause: each SIGHUP began the wait for a settled file anew, and did not cancel the timer of the one before. The reload of both kinds of host is one function. Evidence: startup_test "take effect once, however often a reload is asked for while they settle" fails on the code before and holds now.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 #include "yaml/fault.h"
 #include "yaml/scalars.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
 #include <memory>
@@ -124,15 +125,7 @@
 
 void Daemon::reloadSettings()
 {
-    const auto refuse = [](const std::string &detail) { reportError(ErrorKind::BadSettings, faultsOnOneLine(detail)); };
-    const auto apply = [this, refuse](const std::string &text) {
-        try {
-            applySettings(settingsFrom(text, settingsFile_));
-        } catch (const Error &error) {
-            refuse(error.what());
-        }
-    };
-    settingsReader_.read(apply, refuse);
+    settingsReader_.reload([this](const std::string &text) { applySettings(settingsFrom(text, settingsFile_)); });
 }
 
 void Daemon::applySettings(const Settings &wanted)
@@ -204,7 +197,7 @@
     const auto settings = settingsFrom(text, settingsFile);
     setLogLevel(settings.logLevel);
     HostPlan plan;
-    plan.stopTime = settings.drainTimeouts.requests;
+    plan.stopTime = std::max(settings.drainTimeouts.requests, settings.drainTimeouts.feeds);
     plan.open = [&context, &signals, settingsFile, settings] {
         if (!settings.platform.catalogueFile.empty()) {
             loadCatalogueFile(settings.platform.catalogueFile);
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -435,15 +435,7 @@
 
 void EntryHost::reloadSettings()
 {
-    const auto refuse = [](const std::string &detail) { reportError(ErrorKind::BadSettings, faultsOnOneLine(detail)); };
-    const auto apply = [this, refuse](const std::string &text) {
-        try {
-            applySettings(entrySettingsFrom(text, settingsFile_));
-        } catch (const Error &error) {
-            refuse(error.what());
-        }
-    };
-    settingsReader_.read(apply, refuse);
+    settingsReader_.reload([this](const std::string &text) { applySettings(entrySettingsFrom(text, settingsFile_)); });
 }
 
 void EntryHost::applySettings(const EntrySettings &wanted)
--- a/src/startup/settings_reader.h
+++ b/src/startup/settings_reader.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace medlarway
@@ -23,21 +24,26 @@
 
     SettingsReader(boost::asio::io_context &context, std::string file);
 
-    /// Reads the file. One of the functions is called, maybe before this returns. A read in progress is abandoned.
+    /// Reads the file. One of the functions is called, maybe before this returns. A read in progress goes on with these functions.
     void read(Done done, Failed failed);
 
+    /// Reads the file while the host runs. Reports an Error of the function, and a file that is not complete, so that the settings stay.
+    void reload(const Done &apply);
+
     /// Abandons a read in progress.
     void cancel();
 
 private:
     void poll();
+    void pollLater();
 
     std::string file_;
     boost::asio::steady_timer timer_;
     Done done_;
     Failed failed_;
     CompleteText text_;
-    Time startedAt_;
+    std::optional<Time> startedAt_; ///< of the read in progress
+    Time finishedAt_; ///< end of the last read
     bool reported_ = false; ///< that the file is awaited was logged
 };
 
