startup: the limits of a start are those of its errors, whatever is signalled meanwhile

Callers saw: nothing yet; found by the review. A process without free descriptors aborted (-6) without a line; SIGHUPs while an address was taken began its limit anew; the second that a key file has ran out while an address was awaited. Cause: the context and the signal sets were created outside of the function that reports exceptions; one start time served all limits. Change: runProcess() owns both and reports what their creation throws. Each kind of error has its own limit from its first occurrence with the same settings. A handler exists before the context runs, so nothing has to be kept for it.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -11,7 +11,6 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
-#include <boost/asio/io_context.hpp>
 #include <csignal>
 #include <fmt/format.h>
 #include <string>
@@ -37,10 +36,8 @@
     }
     setLogDescriptor(STDOUT_FILENO);
     beginStart();
-    boost::asio::io_context context{1};
-    ProcessSignals signals(context);
-    const auto planHost = [&](const std::string &text) {
+    const auto planHost = [&file](boost::asio::io_context &context, ProcessSignals &signals, const std::string &text) {
         return hasEntrySettings(text) ? planEntryHost(context, signals, file, text) : planDaemon(context, signals, file, text);
     };
-    return static_cast<int>(runProcess(context, signals, file, planHost));
+    return static_cast<int>(runProcess(file, planHost));
 }
--- a/src/startup/process_signals.cpp
+++ b/src/startup/process_signals.cpp
@@ -1,6 +1,5 @@
 #include "startup/process_signals.h"
 
-#include <algorithm>
 #include <array>
 #include <csignal>
 #include <pthread.h>
@@ -52,9 +51,6 @@
 void ProcessSignals::setHandler(Handler handler)
 {
     handler_ = std::move(handler);
-    for (const int signal : std::exchange(unhandled_, {})) {
-        handler_(signal);
-    }
 }
 
 void ProcessSignals::awaitSignal(boost::asio::signal_set &set)
@@ -63,11 +59,7 @@
         if (error) {
             return;
         }
-        if (handler_) {
-            handler_(signal);
-        } else if (std::find(unhandled_.begin(), unhandled_.end(), signal) == unhandled_.end()) {
-            unhandled_.push_back(signal);
-        }
+        handler_(signal);
         awaitSignal(set);
     });
 }
--- a/src/startup/process_signals.h
+++ b/src/startup/process_signals.h
@@ -4,7 +4,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <functional>
 #include <list>
-#include <vector>
 
 namespace medlarway
 {
@@ -25,7 +24,7 @@
     ProcessSignals(const ProcessSignals &) = delete;
     ProcessSignals &operator=(const ProcessSignals &) = delete;
 
-    /// Sets the handler, which the context calls for each signal. Signals received while there was none are passed to it at once.
+    /// Sets the function that the context calls for each signal. The context must not run before.
     void setHandler(Handler handler);
 
 private:
@@ -33,7 +32,6 @@
 
     std::list<boost::asio::signal_set> sets_;
     Handler handler_;
-    std::vector<int> unhandled_; ///< without repetitions
 };
 
 } // namespace medlarway
--- a/src/startup/start.cpp
+++ b/src/startup/start.cpp
@@ -8,7 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <exception>
+#include <map>
 #include <optional>
+#include <utility>
 
 namespace medlarway
 {
@@ -32,7 +34,8 @@
     return kind == ErrorKind::BadSettings || kind == ErrorKind::BadCatalogue;
 }
 
-Duration waitFor(ErrorKind kind, const HostPlan &plan)
+// How long a start is tried again after such an error.
+Duration retryLimit(ErrorKind kind, const HostPlan &plan)
 {
     if (kind == ErrorKind::AddressTaken) {
         return std::min(plan.stopTime + kStopMargin, kMaxAddressWait);
@@ -40,44 +43,64 @@
     return isBadInput(kind) ? kInputWait : Duration{};
 }
 
-class Start
+class HostStart
 {
 public:
-    Start(boost::asio::io_context &context, ProcessSignals &signals, const std::string &settingsFile, const PlanHost &planHost)
-        : context_(context)
-        , planHost_(planHost)
-        , settings_(context, settingsFile)
-        , timer_(context)
+    HostStart(const std::string &settingsFile, const PlanHost &planHost)
+        : planHost_(planHost)
+        , signals_(context_)
+        , settings_(context_, settingsFile)
+        , timer_(context_)
     {
-        signals.setHandler([this](int signal) { (signal == SIGHUP ? reloadRequested_ : stopRequested_) = true; });
+        signals_.setHandler([this](int signal) { onSignal(signal); });
     }
 
     // Returns once the host has stopped, or a stop was requested before it ran. Throws Error.
     void run();
 
 private:
+    void onSignal(int signal);
     std::optional<std::string> awaitSettings();
     std::function<void()> openHost(const HostPlan &plan);
+    void checkLimit(const Error &error, const HostPlan &plan);
     void waitBeforeRetry();
 
-    boost::asio::io_context &context_;
+    boost::asio::io_context context_{1};
     const PlanHost &planHost_;
+    ProcessSignals signals_;
     SettingsReader settings_;
     boost::asio::steady_timer timer_;
+    std::string text_; ///< the settings that are tried
+    std::map<ErrorKind, Time> failingSince_; ///< with these settings
+    std::string reported_; ///< the error that was logged last
     bool stopRequested_ = false;
     bool reloadRequested_ = false;
     bool timerExpired_ = false;
 };
 
-void Start::run()
+void HostStart::onSignal(int signal)
+{
+    if (signal == SIGHUP) {
+        reloadRequested_ = true;
+        return;
+    }
+    stopRequested_ = true;
+    logEvent(Event::StopRequested, {field("signal", signal)});
+}
+
+void HostStart::run()
 {
     while (!stopRequested_) {
-        // Step 1. The settings, and what they ask for.
+        // Step 1. The settings. What failed with others is forgotten.
         const auto text = awaitSettings();
         if (!text) {
             break;
         }
-        const auto plan = planHost_(*text);
+        if (text_ != *text) {
+            text_ = *text;
+            failingSince_.clear();
+        }
+        const auto plan = planHost_(context_, signals_, text_);
         // Step 2. The addresses. A change of the settings may name others.
         if (const auto runHost = openHost(plan)) {
             runHost();
@@ -87,17 +110,17 @@
     logEvent(Event::Stopped);
 }
 
-// Returns nullopt if a stop was requested.
-std::optional<std::string> Start::awaitSettings()
+// Returns nullopt if a stop was requested. A SIGHUP meanwhile asks for nothing more, as the file is read until it is complete.
+std::optional<std::string> HostStart::awaitSettings()
 {
     std::optional<std::string> text;
     std::optional<std::string> failure;
-    reloadRequested_ = false;
     settings_.read([&](const std::string &complete) { text = complete; }, [&](const std::string &detail) { failure = detail; });
     while (!text && !failure && !stopRequested_) {
         context_.run_one();
     }
     settings_.cancel();
+    reloadRequested_ = false;
     if (failure) {
         throw Error(ErrorKind::BadSettings, *failure);
     }
@@ -105,23 +128,13 @@
 }
 
 // Returns no function if a stop was requested, or that the settings be read again.
-std::function<void()> Start::openHost(const HostPlan &plan)
+std::function<void()> HostStart::openHost(const HostPlan &plan)
 {
-    const auto startedAt = monotonicNow();
-    std::string reported;
     while (!stopRequested_ && !reloadRequested_) {
         try {
             return plan.open();
         } catch (const Error &error) {
-            const auto limit = waitFor(error.kind(), plan);
-            if (monotonicNow() - startedAt >= limit) {
-                throw;
-            }
-            if (reported != error.what()) {
-                reported = error.what();
-                logEvent(Event::StartDelayed, {field("error", errorRow(error.kind()).name), field("detail", faultsOnOneLine(reported)),
-                                               field("limit-ms", inMilliseconds(limit))});
-            }
+            checkLimit(error, plan);
         }
         count(Counter::StartRetries);
         waitBeforeRetry();
@@ -129,7 +142,21 @@
     return {};
 }
 
-void Start::waitBeforeRetry()
+// Called for the error that is being handled, which it throws on after its limit.
+void HostStart::checkLimit(const Error &error, const HostPlan &plan)
+{
+    const auto limit = retryLimit(error.kind(), plan);
+    const auto since = failingSince_.try_emplace(error.kind(), monotonicNow()).first->second;
+    if (monotonicNow() - since >= limit) {
+        throw;
+    }
+    if (std::exchange(reported_, error.what()) != error.what()) {
+        logEvent(Event::StartDelayed, {field("error", errorRow(error.kind()).name), field("detail", faultsOnOneLine(error.what())),
+                                       field("limit-ms", inMilliseconds(limit))});
+    }
+}
+
+void HostStart::waitBeforeRetry()
 {
     timerExpired_ = false;
     timer_.expires_after(toSteady(kRetryInterval));
@@ -142,10 +169,10 @@
 
 } // namespace
 
-ExitCode runProcess(boost::asio::io_context &context, ProcessSignals &signals, const std::string &settingsFile, const PlanHost &planHost)
+ExitCode runProcess(const std::string &settingsFile, const PlanHost &planHost)
 {
     try {
-        Start(context, signals, settingsFile, planHost).run();
+        HostStart(settingsFile, planHost).run();
         return ExitCode::Stopped;
     } catch (const Error &error) {
         reportError(error.kind(), faultsOnOneLine(error.what()));
--- a/src/startup/start.h
+++ b/src/startup/start.h
@@ -27,10 +27,10 @@
 };
 
 /// Makes the plan from the text of the settings. Throws Error(BadSettings).
-using PlanHost = std::function<HostPlan(const std::string &settings)>;
+using PlanHost = std::function<HostPlan(boost::asio::io_context &context, ProcessSignals &signals, const std::string &settings)>;
 
 /// Starts a host as soon as its settings are complete and its addresses are free, both within limits, and runs it. SIGTERM and SIGINT end
 /// the wait as a planned stop; SIGHUP makes it read the settings again. Logs every error; never throws.
-ExitCode runProcess(boost::asio::io_context &context, ProcessSignals &signals, const std::string &settingsFile, const PlanHost &planHost);
+ExitCode runProcess(const std::string &settingsFile, const PlanHost &planHost);
 
 } // namespace medlarway
