pages: a page that throws leaves its connection and its place

Cause: pages were contained for std::exception only; with another type the coroutine of the connection ended unseen, without a response and without the decrement of the connection count, so that after 64 of them the server refused all. The accept loop had no containment. Change: any exception of a page is a 500 response; the count falls however a connection ends; accepting is a duty that starts again. Measured: the new test failed before at the first page that threw, and passes (100 such pages, then another).

--- a/src/pages/page_server.cpp
+++ b/src/pages/page_server.cpp
@@ -1,16 +1,14 @@
 #include "pages/page_server.h"
 
+#include "base/contained.h"
 #include "base/errors.h"
 #include "base/version.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <exception>
 #include <fmt/format.h>
 #include <utility>
 
@@ -35,12 +33,9 @@
 // An exception in a page becomes a 500 response, so that the connection and the thread survive it.
 PageResponse callHandler(const PageHandler &handler, const std::string &target)
 {
-    try {
-        return handler(target);
-    } catch (const std::exception &exception) {
-        reportError(ErrorKind::Internal, exception.what());
-        return {500, "text/plain; charset=utf-8", "internal fault\n"};
-    }
+    PageResponse response{500, "text/plain; charset=utf-8", "internal fault\n"};
+    contain("page", [&] { response = handler(target); });
+    return response;
 }
 
 http::response<http::string_body> makeResponse(const http::request<http::empty_body> &request, const PageHandler &handler)
@@ -96,7 +91,7 @@
 
 void PageServer::start()
 {
-    asio::co_spawn(context_, acceptConnections(), asio::detached);
+    spawnDuty(context_, "accepting connections for pages", [this] { return acceptConnections(); });
 }
 
 asio::awaitable<void> PageServer::acceptConnections()
@@ -115,12 +110,18 @@
         }
         if (connections_ < kMaxConnections) {
             ++connections_;
-            asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+            spawnContained(context_, "connection for pages", serve(std::move(socket)));
         }
     }
 }
 
 asio::awaitable<void> PageServer::serve(tcp::socket socket)
+{
+    co_await contained("connection for pages", serveRequests(std::move(socket)));
+    --connections_;
+}
+
+asio::awaitable<void> PageServer::serveRequests(tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
@@ -138,7 +139,6 @@
         const auto [writeError, written] = co_await http::async_write(stream, response, kWaitForCompletion);
         open = !writeError && response.keep_alive();
     }
-    --connections_;
 }
 
 } // namespace medlarway
--- a/src/pages/page_server.h
+++ b/src/pages/page_server.h
@@ -34,6 +34,7 @@
 private:
     boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> serveRequests(boost::asio::ip::tcp::socket socket);
 
     boost::asio::io_context &context_;
     PageHandler handler_;
