peering: the datagram and control sockets go on after an exception of their handlers

Cause: an exception in RelaySocket's handler passed out of the context and the socket never received again; an error of receiving was repeated at once, without a pause. In ControlSocket it ended the connection and left its place among the 2,048 taken; one in the thread itself ended the process (std::terminate). Change: both contain the handler; receiving again after an error waits 100 ms and is logged; the thread, accepting, and the connections to peers are contained. Measured: both new tests failed before (exception out of run; second message never handled) and pass. The pause after an error of receiving has no test: nothing on loopback returned one.

--- a/src/peering/control_socket.cpp
+++ b/src/peering/control_socket.cpp
@@ -1,5 +1,6 @@
 #include "peering/control_socket.h"
 
+#include "base/contained.h"
 #include "base/errors.h"
 #include "peering/codec.h"
 #include "peering/envelope.h"
@@ -7,8 +8,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -71,10 +70,10 @@
     , acceptor_(context_)
 {
     listen(endpoint);
-    asio::co_spawn(context_, acceptConnections(), asio::detached);
+    spawnDuty(context_, "accepting peers", [this] { return acceptConnections(); });
     thread_ = std::thread([this] {
         blockSignals();
-        context_.run();
+        runContained(context_, "peers' connections");
     });
 }
 
@@ -112,15 +111,21 @@
             pause.expires_after(kAcceptRetryDelay);
             co_await pause.async_wait(kWaitForCompletion);
         } else if (incoming_ < kMaxIncomingConnections) {
-            asio::co_spawn(context_, receive(std::move(socket)), asio::detached);
+            spawnContained(context_, "connection of a peer", receive(std::move(socket)));
         }
     }
 }
 
-// A connection that breaks the framing is closed, as the start of the next message can't be found.
 asio::awaitable<void> ControlSocket::receive(tcp::socket socket)
 {
     ++incoming_;
+    co_await contained("connection of a peer", receiveMessages(std::move(socket)));
+    --incoming_;
+}
+
+// A connection that breaks the framing is closed, as the start of the next message can't be found.
+asio::awaitable<void> ControlSocket::receiveMessages(tcp::socket socket)
+{
     enableKeepAlive(socket);
     const auto greeting = greetingOf(PeerRole::Pull);
     Greeting answer{};
@@ -141,10 +146,9 @@
             std::tie(error, std::ignore) = co_await asio::async_read(socket, asio::buffer(message), kWaitForCompletion);
         }
         if (!error) {
-            handler_(message);
+            contain("message of a peer", [&] { handler_(message); });
         }
     }
-    --incoming_;
 }
 
 void ControlSocket::closeLeastRecentlyUsed()
--- a/src/peering/control_socket.h
+++ b/src/peering/control_socket.h
@@ -56,6 +56,7 @@
     void listen(const Endpoint &endpoint);
     boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> receive(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> receiveMessages(boost::asio::ip::tcp::socket socket);
 
     Handler handler_;
     boost::asio::io_context context_{1};
--- a/src/peering/peer_connection.cpp
+++ b/src/peering/peer_connection.cpp
@@ -1,6 +1,7 @@
 #include "peering/peer_connection.h"
 
 #include "base/backoff.h"
+#include "base/contained.h"
 #include "peering/peer_framing.h"
 
 #include <array>
@@ -47,8 +48,7 @@
 
 void PeerConnection::start()
 {
-    asio::co_spawn(
-        context_, [self = shared_from_this()] { return self->run(); }, asio::detached);
+    spawnDuty(context_, "connection to a peer", [self = shared_from_this()] { return self->run(); });
 }
 
 bool PeerConnection::enqueue(std::string message)
@@ -113,7 +113,8 @@
     }
     open_ = true;
     asio::co_spawn(
-        context_, [self = shared_from_this(), attempt = attempt_] { return self->detectClose(attempt); }, asio::detached);
+        context_, [self = shared_from_this(), attempt = attempt_] { return contained("connection to a peer", self->detectClose(attempt)); },
+        asio::detached);
     co_return true;
 }
 
--- a/src/peering/relay_socket.cpp
+++ b/src/peering/relay_socket.cpp
@@ -1,5 +1,6 @@
 #include "peering/relay_socket.h"
 
+#include "base/contained.h"
 #include "base/errors.h"
 
 #include <boost/asio/buffer.hpp>
@@ -14,6 +15,9 @@
 
 constexpr int kSocketBufferBytes = 4 << 20;
 
+// Receiving may fail repeatedly, for example without memory; the delay avoids a busy loop.
+constexpr std::chrono::milliseconds kReceiveRetryDelay{100};
+
 udp::endpoint asioEndpoint(const Endpoint &endpoint)
 {
     return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
@@ -24,6 +28,7 @@
 RelaySocket::RelaySocket(boost::asio::io_context &context, const Endpoint &listen, Handler handler)
     : handler_(std::move(handler))
     , socket_(context)
+    , pause_(context)
 {
     boost::system::error_code error;
     socket_.open(udp::v4(), error);
@@ -48,13 +53,28 @@
         if (error == boost::asio::error::operation_aborted) {
             return;
         }
-        if (!error && size <= kMaxRelayBytes) {
-            handler_(std::string_view(buffer_.data(), size));
+        if (error) {
+            retryReceive(error);
+            return;
+        }
+        if (size <= kMaxRelayBytes) {
+            contain("datagram of a peer", [this, size] { handler_(std::string_view(buffer_.data(), size)); });
         }
         receiveNext();
     });
 }
 
+void RelaySocket::retryReceive(const boost::system::error_code &failure)
+{
+    reportError(ErrorKind::Internal, "receiving datagrams of peers: " + failure.message());
+    pause_.expires_after(kReceiveRetryDelay);
+    pause_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            receiveNext();
+        }
+    });
+}
+
 bool RelaySocket::send(HostId to, std::string_view sealed)
 {
     if (sealed.size() > kMaxRelayBytes) {
--- a/src/peering/relay_socket.h
+++ b/src/peering/relay_socket.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 
 namespace medlarway
@@ -33,9 +34,11 @@
 
 private:
     void receiveNext();
+    void retryReceive(const boost::system::error_code &failure);
 
     Handler handler_;
     boost::asio::ip::udp::socket socket_;
+    boost::asio::steady_timer pause_; ///< before receiving again after an error
     boost::asio::ip::udp::endpoint sender_;
     std::array<char, kMaxRelayBytes + 1> buffer_{};
 };
--- a/tests/peering/peering_test.cpp
+++ b/tests/peering/peering_test.cpp
@@ -1,8 +1,10 @@
 #include "base/errors.h"
+#include "harness/run_until.h"
 #include "peering/byte_budget.h"
 #include "peering/codec.h"
 #include "peering/control_socket.h"
 #include "peering/envelope.h"
+#include "peering/relay_socket.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -307,6 +309,26 @@
             REQUIRE(received > 0);
         }
     }
+    SUBCASE("goes on after an exception of its handler")
+    {
+        std::atomic<int> calls{0};
+        const auto faulty = freeEndpoint();
+        const ControlSocket host(faulty, [&calls](std::string_view) {
+            if (++calls == 1) {
+                throw std::runtime_error("fault of the handler");
+            }
+        });
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket peer(context);
+        peer.connect({boost::asio::ip::address_v4(faulty.address), faulty.port});
+        const std::string message{"\0\0\0\0\0\0\0\3new", 11};
+        boost::asio::write(peer, boost::asio::buffer(std::string("\0SP\0\0\x50\0\0", 8) + message + message));
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+        while (calls < 2 && std::chrono::steady_clock::now() < end) {
+            std::this_thread::yield();
+        }
+        CHECK(calls == 2);
+    }
     SUBCASE("speaks the framing of earlier releases")
     {
         boost::asio::io_context context;
@@ -338,3 +360,20 @@
         CHECK(errorKindOf([&] { ControlSocket(endpoint, [](std::string_view) {}); }) == ErrorKind::AddressTaken);
     }
 }
+
+TEST_CASE("a socket for datagrams of peers goes on after an exception of its handler")
+{
+    boost::asio::io_context context;
+    const auto endpoint = freeEndpoint();
+    int calls = 0;
+    RelaySocket receiver(context, endpoint, [&calls](std::string_view) {
+        if (++calls == 1) {
+            throw std::runtime_error("fault of the handler");
+        }
+    });
+    RelaySocket sender(context, freeEndpoint(), [](std::string_view) {});
+    CHECK(sender.send(hostIdOf(endpoint), "first"));
+    CHECK(runUntil(context, [&] { return calls == 1; }));
+    CHECK(sender.send(hostIdOf(endpoint), "second"));
+    CHECK(runUntil(context, [&] { return calls == 2; }));
+}
