platform: the store feed goes on after an exception of its sink

Cause: the coroutine ended unseen, and the host never learned of a change again. Change: the feed is a duty that starts again on a new connection and is offered the same changes; an item that fails a second time is left out and reported, so that the others and later changes are applied. A complete read counts as done only after the sink took it.

--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -1,11 +1,10 @@
 #include "platform/store_feed.h"
 
+#include "base/contained.h"
 #include "base/errors.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 #include <utility>
@@ -38,7 +37,7 @@
 void StoreFeed::start()
 {
     running_ = true;
-    asio::co_spawn(context_, run(), asio::detached);
+    spawnDuty(context_, "reading the store", [this] { return run(); });
 }
 
 void StoreFeed::reconnect()
@@ -57,8 +56,12 @@
 
 // A single watch covers all keys, since the platform charges for each call. The store holds it until something changes. The pause after
 // changes lets a burst of changes arrive in a few responses.
+//
+// After an exception the connection may be amid a response.
 asio::awaitable<void> StoreFeed::run()
 {
+    client_.close();
+    resting_ = false;
     while (running_) {
         if (!reading_) {
             co_await waitUntilReading();
@@ -142,11 +145,12 @@
     }
     fullRead_.asOf = isKnown(fullRead_.asOf) ? std::min(fullRead_.asOf, pageAsOf) : pageAsOf;
     for (const auto &item : response.items) {
-        apply(item, result.era);
+        offer(item, result.era);
         if (item.key.starts_with(kUpstreamPrefix)) {
             fullRead_.ids.push_back(item.key.substr(kUpstreamPrefix.size()));
         }
     }
+    repeating_ = false;
     failures_ /= 2; // not reset to 0: other hosts' reads may still overload the store
     fullRead_.allPagesRead = !response.hasMore || response.items.empty();
     if (!fullRead_.allPagesRead) {
@@ -179,9 +183,8 @@
     if (!result.response) {
         co_return recordFailure("watch", result.status);
     }
-    const auto complete = std::exchange(fullRead_, {});
-    asOf_ = complete.asOf;
-    sink_.complete(complete.ids, complete.asOf);
+    sink_.complete(fullRead_.ids, fullRead_.asOf);
+    asOf_ = std::exchange(fullRead_, {}).asOf;
     co_return applyChanges(result);
 }
 
@@ -230,12 +233,26 @@
 bool StoreFeed::applyChanges(const StoreResult &result)
 {
     for (const auto &item : result.response->items) {
-        apply(item, result.era);
+        offer(item, result.era);
     }
     recordSuccess(std::max(asOf_, Revision{result.era, result.response->asOf}), !result.response->items.empty());
     return true;
 }
 
+// An item that can't be applied is offered again with all others of its response. If it fails again, it is left out, so that the others and
+// later changes are applied.
+void StoreFeed::offer(const StoreItem &item, std::uint64_t era)
+{
+    try {
+        apply(item, era);
+    } catch (...) {
+        if (!std::exchange(repeating_, true)) {
+            throw;
+        }
+        reportFault(fmt::format("{} at revision {}", item.key, item.revision), std::current_exception());
+    }
+}
+
 // An invalid entry removes the upstream, even if an earlier revision of the entry was valid.
 void StoreFeed::apply(const StoreItem &item, std::uint64_t era)
 {
@@ -295,6 +312,7 @@
     changed_ = changed;
     lastResponseAt_ = now;
     failures_ = 0;
+    repeating_ = false;
     if (sink_.confirmed) {
         sink_.confirmed();
     }
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -106,6 +106,7 @@
     boost::asio::awaitable<bool> watch();
     void restartFullRead();
     bool applyChanges(const StoreResult &result);
+    void offer(const StoreItem &item, std::uint64_t era);
     void apply(const StoreItem &item, std::uint64_t era);
     void recordEra(const StoreResult &result);
     static void reportTooLarge(const Revision &after);
@@ -127,6 +128,7 @@
     Time callStartedAt_;
     Time lastResponseAt_;
     bool running_ = false;
+    bool repeating_ = false; ///< an item of this response could not be applied before
     bool reading_ = true; ///< see setReading()
     bool confirmNext_ = false; ///< the next watch responds at once
     bool resting_ = false; ///< in a pause after changes
--- a/tests/platform/store_feed_test.cpp
+++ b/tests/platform/store_feed_test.cpp
@@ -17,8 +17,9 @@
 
 // A feed and the data that it delivered.
 struct Reader {
-    Reader(boost::asio::io_context &context, const Endpoint &address)
-        : feed(context, optionsFor(address), sink())
+    Reader(boost::asio::io_context &context, const Endpoint &address, int expectedFaults = 0)
+        : faults(expectedFaults)
+        , feed(context, optionsFor(address), sink())
     {
         feed.start();
     }
@@ -40,7 +41,13 @@
     {
         StoreFeedSink result;
         result.config = [this](const RouteConfig &config) { versions.push_back(config.version); };
-        result.upstream = [this](const UpstreamEntry &entry) { upstreams[entry.id] = entry; };
+        result.upstream = [this](const UpstreamEntry &entry) {
+            if (faults > 0) {
+                --faults;
+                throw std::runtime_error("fault of the sink");
+            }
+            upstreams[entry.id] = entry;
+        };
         result.removed = [this](const std::string &id, const Revision & /*revision*/) { upstreams.erase(id); };
         result.complete = [this](const std::vector<std::string> &ids, const Revision & /*revision*/) {
             const std::set<std::string> named(ids.begin(), ids.end());
@@ -53,6 +60,7 @@
     std::vector<std::uint64_t> versions;
     std::map<std::string, UpstreamEntry> upstreams;
     int completeReads = 0;
+    int faults; ///< how often the sink still throws
     StoreFeed feed;
 };
 
@@ -83,6 +91,27 @@
         CHECK(runUntil(context, [&] { return reader.upstreams.empty(); }));
         CHECK(reader.completeReads == 1);
     }
+    SUBCASE("goes on after an exception of the sink")
+    {
+        reader.faults = 1;
+        store.put("servers/i-2", entry());
+        CHECK(runUntil(context, [&] { return reader.upstreams.contains("i-2"); }));
+        SUBCASE("during the full read")
+        {
+            Reader late(context, store.address(), 1);
+            CHECK(runUntil(context, [&] { return late.completeReads == 1; }));
+            CHECK(late.upstreams.size() == 2);
+            late.feed.stop();
+        }
+        SUBCASE("and leaves out an item that fails again, but not those after it")
+        {
+            reader.faults = 2;
+            store.put("servers/i-3", entry());
+            store.put("servers/i-4", entry());
+            CHECK(runUntil(context, [&] { return reader.upstreams.contains("i-4"); }));
+            CHECK_FALSE(reader.upstreams.contains("i-3"));
+        }
+    }
     SUBCASE("reads all pages")
     {
         store.setPageItems(2);
