platform: a watched key is read on after an exception of its sink

Change: the watch is a duty; it starts again on a new connection and delivers what was not delivered. Measured: the new subcase failed before and passes.

--- a/src/platform/store_source.cpp
+++ b/src/platform/store_source.cpp
@@ -1,5 +1,6 @@
 #include "platform/store_source.h"
 
+#include "base/contained.h"
 #include "base/errors.h"
 #include "base/random.h"
 #include "platform/platform_value.h"
@@ -7,8 +8,6 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
@@ -132,7 +131,7 @@
 
 void StoreSource::spawn(const Watch &watch)
 {
-    asio::co_spawn(context_, run(watch), asio::detached);
+    spawnDuty(context_, "watching the store", [this, watch] { return run(watch); });
 }
 
 void StoreSource::cancel(KeyWatch &watch)
@@ -142,9 +141,12 @@
     watch.timer.cancel();
 }
 
-// Reads or watches one key in a loop until it is no longer watched.
+// Reads or watches one key in a loop until it is no longer watched. After an exception the connection may be amid a response, and a value
+// undelivered.
 asio::awaitable<void> StoreSource::run(Watch watch)
 {
+    watch->client.close();
+    co_await deliver(watch);
     while (watch->active) {
         const auto startedAt = monotonicNow();
         const auto result = co_await read(watch);
--- a/tests/platform/sources_test.cpp
+++ b/tests/platform/sources_test.cpp
@@ -27,10 +27,14 @@
 
 struct Received {
     std::vector<PlatformUpdate> updates;
+    bool fault = false; ///< the sink throws once
 
     PlatformSink sink()
     {
         return [this](const PlatformUpdate &update) {
+            if (std::exchange(fault, false)) {
+                throw std::runtime_error("fault of the sink");
+            }
             updates.push_back(update);
             return true;
         };
@@ -124,6 +128,14 @@
         CHECK(runUntil(context, [&] { return received.lastRevision() == second && store.heldWatches() == 1; }));
         CHECK(store.calls() == 3);
     }
+    SUBCASE("is delivered again, and watched further, after an exception of the sink")
+    {
+        received.fault = true;
+        const auto second = store.put("catalogue/one", shardText("two"));
+        CHECK(runUntil(context, [&] { return received.lastRevision() == second; }));
+        const auto third = store.put("catalogue/one", shardText("three"));
+        CHECK(runUntil(context, [&] { return received.lastRevision() == third; }));
+    }
     SUBCASE("ignores a longer key that starts with the watched one")
     {
         const auto before = store.calls();
