entry: the packet socket goes on after exceptions and errors, which are counted

Cause: an exception for one batch meant that the socket was never armed again (and ended the process); so did a failed wait. Errors of recvmmsg were taken for an empty socket, without a line or a pause; refused datagrams were counted but not logged. Change: the handler is contained, and what it had ready is sent; a failed wait or receive is logged and tried again after 10 ms; a refused datagram is also logged (501, with the system's reason) and counted in datagrams_dropped. After a partial sendmmsg the refused datagram is tried once more alone, as only then its error is returned. A failed wait has no test: asio's wait of a real socket returned none.

--- a/src/entry/packet_socket.cpp
+++ b/src/entry/packet_socket.cpp
@@ -1,5 +1,6 @@
 #include "entry/packet_socket.h"
 
+#include "base/contained.h"
 #include "base/errors.h"
 
 #include <algorithm>
@@ -19,9 +20,17 @@
 // Maximum number of batches read before other work of the thread gets its turn.
 constexpr int kMaxBatches = 8;
 
+// Receiving may fail repeatedly, for example without memory; the delay avoids a busy loop.
+constexpr std::chrono::milliseconds kRetryDelay{10};
+
 // Holds the packets that arrive while the process has used up its CPU quota.
 constexpr int kReceiveBufferBytes = 1 << 20;
 
+std::string textOf(int systemError)
+{
+    return ErrorCode(systemError, boost::system::system_category()).message();
+}
+
 sockaddr_in toSocketAddress(const Endpoint &endpoint)
 {
     sockaddr_in address{};
@@ -36,6 +45,7 @@
 PacketSocket::PacketSocket(boost::asio::io_context &context, const Endpoint &listen, Handler handler)
     : handler_(std::move(handler))
     , socket_(context)
+    , pause_(context)
 {
     ErrorCode error;
     socket_.open(udp::v4(), error);
@@ -61,6 +71,25 @@
 void PacketSocket::awaitReadable()
 {
     socket_.async_wait(udp::socket::wait_read, [this](const ErrorCode &error) {
+        if (error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            reportError(ErrorKind::Internal, "waiting for packets: " + error.message());
+        }
+        if (error || !receiveAll()) {
+            retryReceive();
+            return;
+        }
+        awaitReadable();
+    });
+}
+
+// Looks for packets without a wait, as the wait itself may have failed.
+void PacketSocket::retryReceive()
+{
+    pause_.expires_after(kRetryDelay);
+    pause_.async_wait([this](const ErrorCode &error) {
         if (error) {
             return;
         }
@@ -69,23 +98,28 @@
     });
 }
 
-void PacketSocket::receiveAll()
+// Returns false if the socket can't be read. The packets of a batch that were handled before an exception are sent.
+bool PacketSocket::receiveAll()
 {
     for (int batch = 0; batch < kMaxBatches; ++batch) {
         const auto received = receiveBatch();
-        if (received == 0) {
-            return;
+        if (!received) {
+            return false;
         }
         outgoing_.clear();
-        handler_(std::span(datagrams_).first(received), outgoing_);
+        if (*received > 0) {
+            contain("packets", [this, received] { handler_(std::span(datagrams_).first(*received), outgoing_); });
+        }
         send(outgoing_);
-        if (received < kBatchSize) {
-            return;
+        if (*received < kBatchSize) {
+            break;
         }
     }
+    return true;
 }
 
-std::size_t PacketSocket::receiveBatch()
+// Returns nullopt if the socket can't be read.
+std::optional<std::size_t> PacketSocket::receiveBatch()
 {
     std::array<mmsghdr, kBatchSize> messages{};
     std::array<iovec, kBatchSize> pieces{};
@@ -95,6 +129,10 @@
         messages.at(row).msg_hdr.msg_iovlen = 1;
     }
     const int received = ::recvmmsg(socket_.native_handle(), messages.data(), kBatchSize, MSG_DONTWAIT, nullptr);
+    if (received < 0 && errno != EAGAIN && errno != EINTR) {
+        reportError(ErrorKind::Internal, "receiving packets: " + textOf(errno));
+        return std::nullopt;
+    }
     if (received <= 0) {
         return 0;
     }
@@ -132,16 +170,23 @@
             header.msg_iovlen = used;
         }
         const int sent = ::sendmmsg(socket_.native_handle(), messages.data(), static_cast<unsigned>(count), MSG_DONTWAIT);
-        const auto taken = sent > 0 ? static_cast<std::size_t>(sent) : 0;
-        counts_.sent += taken;
-        // Skip the refused datagram.
-        if (taken < count) {
-            ++counts_.sendFailures;
-            next += taken + 1;
+        if (sent > 0) {
+            counts_.sent += static_cast<std::size_t>(sent);
+            next += static_cast<std::size_t>(sent);
         } else {
-            next += taken;
+            recordRefusal(outgoing[next].to, errno);
+            ++next;
         }
     }
 }
 
+void PacketSocket::recordRefusal(const Endpoint &to, int systemError)
+{
+    ++counts_.sendFailures;
+    count(Counter::DatagramsDropped);
+    if (logTakes(Event::DatagramDropped)) {
+        logEvent(Event::DatagramDropped, {field("detail", textOf(systemError)), field("to", endpointToString(to))});
+    }
+}
+
 } // namespace medlarway
--- a/src/entry/packet_socket.h
+++ b/src/entry/packet_socket.h
@@ -5,9 +5,11 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <netinet/in.h>
+#include <optional>
 #include <span>
 #include <sys/socket.h>
 #include <vector>
@@ -38,7 +40,7 @@
     static constexpr std::size_t kBatchSize = 32;
 
     /// Called for each batch with its datagrams in order of arrival, which may be modified in place. The packets appended to outgoing are
-    /// sent after the call returns.
+    /// sent after the call returns or throws.
     using Handler = std::function<void(std::span<std::span<std::uint8_t>> datagrams, std::vector<OutgoingPacket> &outgoing)>;
 
     /// Binds the socket. Throws Error(AddressTaken) on failure.
@@ -59,11 +61,14 @@
     static constexpr std::size_t kBufferBytes = 1536; ///< larger than any valid packet, so that oversized ones are detected
 
     void awaitReadable();
-    void receiveAll();
-    std::size_t receiveBatch();
+    void retryReceive();
+    bool receiveAll();
+    std::optional<std::size_t> receiveBatch();
+    void recordRefusal(const Endpoint &to, int systemError);
 
     Handler handler_;
     boost::asio::ip::udp::socket socket_;
+    boost::asio::steady_timer pause_; ///< before receiving again after an error
     PacketSocketCounts counts_;
     std::vector<OutgoingPacket> outgoing_;
     std::array<std::array<std::uint8_t, kBufferBytes>, kBatchSize> buffers_{};
