entry: the feed between hosts goes on after an exception

Cause: an exception while a page was fetched or applied left the follower "fetching", so it never asked its source again; one while sending what is due left the timer unarmed.

--- a/src/entry/peer_feed.cpp
+++ b/src/entry/peer_feed.cpp
@@ -1,5 +1,6 @@
 #include "entry/peer_feed.h"
 
+#include "base/contained.h"
 #include "base/errors.h"
 #include "entry/revision_text.h"
 #include "pages/http_client.h"
@@ -9,8 +10,6 @@
 #include "yaml/scalars.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 #include <utility>
 
@@ -95,6 +94,12 @@
 }
 
 void PeerFeed::update()
+{
+    const bool complete = contain("feed between hosts", [this] { sendDue(); });
+    scheduleUpdate(complete ? Time{} : monotonicNow() + kRestartPause);
+}
+
+void PeerFeed::sendDue()
 {
     const auto now = monotonicNow();
     follower_.tick(callbacks_.known(), callbacks_.urgent(), now, outbox_);
@@ -117,19 +122,19 @@
         readReason_ = reason;
         callbacks_.readReasonChanged(reason);
     }
-    scheduleUpdate();
 }
 
-void PeerFeed::scheduleUpdate()
+void PeerFeed::scheduleUpdate(Time earliest)
 {
     auto next = follower_.nextTick();
     if (const auto due = held_.nextDue()) {
         next = std::min(next, *due);
     }
+    next = std::max(next, earliest);
     timer_.expires_at(std::chrono::time_point_cast<std::chrono::steady_clock::duration>(next));
     timer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
-            callbacks_.beforeUse();
+            contain("feed between hosts", callbacks_.beforeUse);
             update();
         }
     });
@@ -186,7 +191,7 @@
         callbacks_.apply(reply.delta, from);
         return;
     case ReplyUse::Fetch:
-        boost::asio::co_spawn(context_, fetch(from, follower_.hosts().controlOf(from).value_or(Endpoint{})), boost::asio::detached);
+        spawnContained(context_, "fetch from a host", fetch(from, follower_.hosts().controlOf(from).value_or(Endpoint{})));
         return;
     }
 }
@@ -255,6 +260,16 @@
 boost::asio::awaitable<void> PeerFeed::fetch(HostId from, Endpoint control)
 {
     const auto startedAt = monotonicNow();
+    bool applied = false;
+    co_await contained("fetch from a host", fetchPage(from, control, startedAt, applied));
+    if (!applied) {
+        follower_.onFetched(from, false, std::nullopt, startedAt);
+    }
+    update();
+}
+
+boost::asio::awaitable<void> PeerFeed::fetchPage(HostId from, Endpoint control, Time startedAt, bool &applied)
+{
     const auto known = callbacks_.known();
     HttpClient reader(context_, control);
     const auto response = co_await reader.get(fmt::format("{}?after={}&version={}&from={}", kDeltaPath, revisionToString(known.asOf),
@@ -262,10 +277,7 @@
                                               kFetchTimeout, kConnectTimeout);
     reader.close();
     callbacks_.beforeUse();
-    if (!response || response->status != kStatusOk || !applyPage(from, response->body, startedAt)) {
-        follower_.onFetched(from, false, std::nullopt, startedAt);
-    }
-    update();
+    applied = response && response->status == kStatusOk && applyPage(from, response->body, startedAt);
 }
 
 // True if the page was applied; its data may then count as confirmed.
--- a/src/entry/peer_feed.h
+++ b/src/entry/peer_feed.h
@@ -97,10 +97,12 @@
     void answer(const HeldRequest &held);
     void send(HostId to, MessageKind kind, const std::string &body);
     boost::asio::awaitable<void> fetch(HostId from, Endpoint control);
+    boost::asio::awaitable<void> fetchPage(HostId from, Endpoint control, Time startedAt, bool &applied);
     bool applyPage(HostId from, const std::string &sealed, Time startedAt);
     SourceState sourceState() const;
     std::optional<Duration> confirmedAgo(Time now) const;
-    void scheduleUpdate();
+    void sendDue();
+    void scheduleUpdate(Time earliest);
 
     boost::asio::io_context &context_;
     PeerFeedCallbacks callbacks_;
