--- a/src/entry/peer_snapshots.cpp
+++ b/src/entry/peer_snapshots.cpp
@@ -1,5 +1,6 @@
 #include "entry/peer_snapshots.h"
 
+#include "base/contained.h"
 #include "base/errors.h"
 #include "entry/revision_text.h"
 #include "pages/query.h"
@@ -7,8 +8,6 @@
 #include "yaml/scalars.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 #include <utility>
@@ -63,7 +62,7 @@
 
 void PeerSnapshotPoller::start()
 {
-    boost::asio::co_spawn(context_, run(), boost::asio::detached);
+    spawnDuty(context_, "requesting snapshots", [this] { return run(); });
 }
 
 boost::asio::awaitable<void> PeerSnapshotPoller::run()
--- a/src/entry/upstream_probe.cpp
+++ b/src/entry/upstream_probe.cpp
@@ -1,8 +1,8 @@
 #include "entry/upstream_probe.h"
 
+#include "base/contained.h"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <utility>
@@ -24,7 +24,7 @@
 
 void UpstreamProber::probe(const Endpoint &address, Done done)
 {
-    boost::asio::co_spawn(context_, run(address, std::move(done)), boost::asio::detached);
+    spawnContained(context_, "probe of an upstream", run(address, std::move(done)));
 }
 
 boost::asio::awaitable<void> UpstreamProber::run(Endpoint address, Done done)
