entry: an exception of a handler no longer ends the host

Cause: EntryHost::run() ran the context without containment, and the tick armed its timer only at its end. Change: the context runs contained, so does the handler of signals; the tick is a duty. The exit is checked first in a tick, so that no fault holds it up. Measured: the new test failed before ("run: fault of a handler") and passes.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_host.h"
 
+#include "base/contained.h"
 #include "base/errors.h"
 #include "base/version.h"
 #include "entry/entry_pages.h"
@@ -12,6 +13,8 @@
 #include "startup/start_cost.h"
 #include "yaml/fault.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <fmt/format.h>
 #include <memory>
@@ -120,13 +123,13 @@
     packets_.start();
     readyServer_.start();
     controlServer_.start();
-    onTick();
+    spawnDuty(context_, "tick", [this] { return runTicks(); });
     const auto cost = startCost();
     logEvent(Event::Started, {field("version", kVersion), field("host", settings_.name), field("zone", settings_.zone.name),
                               field("packets", endpointToString(settings_.packets)), field("store", endpointToString(settings_.store)),
                               field("start-ms", inMilliseconds(cost.elapsed)), field("cpu-ms", inMilliseconds(cost.processorTime))});
-    signals.setHandler([this](int signal) { onSignal(signal); });
-    context_.run();
+    signals.setHandler([this](int signal) { contain("signal", [this, signal] { onSignal(signal); }); });
+    runContained(context_, "entry host");
     logEvent(Event::Stopped, {field("packets", packets_.counts().received), field("flows", steering_.flowCount())});
 }
 
@@ -209,10 +212,24 @@
     }
 }
 
+boost::asio::awaitable<void> EntryHost::runTicks()
+{
+    for (;;) {
+        onTick();
+        ticker_.expires_after(toSteady(kSteeringTick));
+        co_await ticker_.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+}
+
+// The exit comes first, so that no fault of a tick holds it up.
 void EntryHost::onTick()
 {
-    checkForPause();
     const auto now = monotonicNow();
+    if (stopping_ && canExit(now)) {
+        context_.stop();
+        return;
+    }
+    checkForPause();
     updateFreshness();
     steering_.tick(now);
     synCopies_.expire(now);
@@ -222,16 +239,6 @@
     urgent_ = pauseAfterChanges(timing_, urgency()) < timing_.pause;
     updatePace();
     flushLog();
-    if (stopping_ && canExit(now)) {
-        context_.stop();
-        return;
-    }
-    ticker_.expires_after(toSteady(kSteeringTick));
-    ticker_.async_wait([this](const boost::system::error_code &error) {
-        if (!error) {
-            onTick();
-        }
-    });
 }
 
 void EntryHost::updateFreshness()
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -40,6 +40,7 @@
     void onBatch(std::span<std::span<std::uint8_t>> datagrams, std::vector<OutgoingPacket> &outgoing);
     void onDatagram(std::span<std::uint8_t> datagram, std::vector<OutgoingPacket> &outgoing, Time now);
     void sendSynsAgain(std::vector<OutgoingPacket> &outgoing, Time now);
+    boost::asio::awaitable<void> runTicks();
     void onTick();
     void onSignal(int signal);
     void reloadSettings();
--- /dev/null
+++ b/tests/entry/entry_host_test.cpp
@@ -0,0 +1,53 @@
+#include "base/contained.h"
+#include "base/counters.h"
+#include "entry/entry_host.h"
+
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <thread>
+
+using namespace medlarway;
+
+namespace
+{
+
+constexpr std::string_view kSettings = R"(
+entry:
+  name: "one"
+  zone: z
+  packets: "{0}:28172"
+  ready: "{0}:28167"
+  control: "{0}:28166"
+  store: "{0}:28170"
+  peers: "{0}:28200"
+  seeds: ["{0}:28166"]
+  grace-seconds: 4
+)";
+
+// An address of the loopback network that no other process of these tests has.
+std::string ownAddress()
+{
+    const auto process = static_cast<unsigned>(getpid());
+    return fmt::format("127.{}.{}.1", 16 + process / 256 % 224, process % 256);
+}
+
+} // namespace
+
+TEST_CASE("an entry host goes on after an exception of a handler, until it is told to stop")
+{
+    const auto faults = counterValue(Counter::InternalFaults);
+    bool stopped = false;
+    // The signals stay blocked in the thread afterwards.
+    std::thread([&stopped] {
+        boost::asio::io_context context;
+        ProcessSignals signals(context);
+        EntryHost host(context, "entry.yaml", entrySettingsFrom(fmt::format(kSettings, ownAddress()), "entry.yaml"));
+        boost::asio::post(context, [] { throw std::runtime_error("fault of a handler"); });
+        boost::asio::post(context, [] { std::raise(SIGTERM); });
+        stopped = contain("run", [&] { host.run(signals); });
+    }).join();
+    CHECK(stopped);
+    CHECK(counterValue(Counter::InternalFaults) - faults == 1);
+}
