startup, daemon: exceptions of signal handlers and of the proxy's main thread are contained

Change: ProcessSignals contains what its handler throws; the daemon's context runs contained as the entry host's does.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include "base/contained.h"
 #include "base/errors.h"
 #include "base/version.h"
 #include "platform/file_source.h"
@@ -80,7 +81,7 @@
                               field("peers", settings_.peers ? endpointToString(settings_.peers->listen) : "none"),
                               field("start-ms", inMilliseconds(cost.elapsed)), field("cpu-ms", inMilliseconds(cost.processorTime))});
     signals.setHandler([this](int signal) { onSignal(signal); });
-    context_.run();
+    runContained(context_, "daemon");
     // Step 2 of the planned stop, after the drain: announce it to the peers, then stop each worker before those it calls.
     control_.depart();
     operator_.stop();
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -128,7 +128,7 @@
     logEvent(Event::Started, {field("version", kVersion), field("host", settings_.name), field("zone", settings_.zone.name),
                               field("packets", endpointToString(settings_.packets)), field("store", endpointToString(settings_.store)),
                               field("start-ms", inMilliseconds(cost.elapsed)), field("cpu-ms", inMilliseconds(cost.processorTime))});
-    signals.setHandler([this](int signal) { contain("signal", [this, signal] { onSignal(signal); }); });
+    signals.setHandler([this](int signal) { onSignal(signal); });
     runContained(context_, "entry host");
     logEvent(Event::Stopped, {field("packets", packets_.counts().received), field("flows", steering_.flowCount())});
 }
--- a/src/startup/process_signals.cpp
+++ b/src/startup/process_signals.cpp
@@ -1,5 +1,7 @@
 #include "startup/process_signals.h"
 
+#include "base/contained.h"
+
 #include <array>
 #include <csignal>
 #include <pthread.h>
@@ -59,7 +61,7 @@
         if (error) {
             return;
         }
-        handler_(signal);
+        contain("signal", [&] { handler_(signal); });
         awaitSignal(set);
     });
 }
