entry: a probe that this host could not make says nothing against the upstream

Callers saw: nothing yet; found while looking for the same cause elsewhere. A host without free descriptors reset all flows of each upstream that it suspected, though the upstream was well. Cause: any error of the connection attempt counted as unreachable, also those of the host itself. Change: errors for want of descriptors, buffers, memory, addresses or permission count as no finding.

--- a/src/entry/upstream_probe.cpp
+++ b/src/entry/upstream_probe.cpp
@@ -15,6 +15,15 @@
 
 constexpr int kMaxAttempts = 2; // a single SYN may be lost
 
+// Whether this host could not even try.
+bool isLocalFailure(const boost::system::error_code &error)
+{
+    namespace errc = boost::system::errc;
+    return error == errc::too_many_files_open || error == errc::too_many_files_open_in_system || error == errc::no_buffer_space
+           || error == errc::not_enough_memory || error == errc::address_not_available || error == errc::operation_not_permitted
+           || error == errc::permission_denied;
+}
+
 } // namespace
 
 UpstreamProber::UpstreamProber(boost::asio::io_context &context)
@@ -35,7 +44,7 @@
         boost::beast::tcp_stream stream(context_);
         stream.expires_after(kProbeTimeout);
         const auto [error] = co_await stream.async_connect(endpoint, boost::asio::as_tuple(boost::asio::use_awaitable));
-        reachable = !error;
+        reachable = !error || isLocalFailure(error);
     }
     done(reachable);
 }
--- a/src/entry/upstream_probe.h
+++ b/src/entry/upstream_probe.h
@@ -19,7 +19,8 @@
 
     explicit UpstreamProber(boost::asio::io_context &context);
 
-    /// Tries to connect up to twice. done is called on the thread that runs the context.
+    /// Tries to connect up to twice. done is called on the thread that runs the context. An upstream counts as reachable if this host lacks
+    /// what it needs to connect, such as descriptors.
     void probe(const Endpoint &address, Done done);
 
 private:
