soak: a supervisor that restarts, signals and configures the hosts

Cause: processes that end by themselves around their start were missed by the soak: it restarted a host only after the one before had gone, signalled none while it started and never rewrote settings. No process may end by itself or refuse settings; a host counts as ready again only after a probe of its latest process. A reload waits for the first line of the log.

--- a/tests/daemon/daemon_process.cpp
+++ b/tests/daemon/daemon_process.cpp
@@ -4,6 +4,7 @@
 #include "yaml/text_file.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -89,7 +90,7 @@
 
 DaemonProcess::DaemonProcess(const std::string &settings, const std::string &catalogue)
     : DaemonProcess([&] {
-        const auto folder = std::make_shared<DaemonFolder>();
+        auto folder = std::make_shared<DaemonFolder>();
         folder->write("catalogue.yaml", catalogue);
         folder->write("settings.yaml", settings);
         return folder;
@@ -102,11 +103,20 @@
 {
     const auto settingsFile = folder_->path() + "/settings.yaml";
     const auto logFile = folder_->path() + "/log";
+    std::array<int, 2> pipe{};
+    if (pipe2(pipe.data(), O_CLOEXEC) != 0) {
+        throw std::runtime_error("no pipe for a daemon");
+    }
     process_ = fork();
     if (process_ == 0) {
         execDaemon(settingsFile.c_str(), logFile.c_str());
     }
-    if (process_ < 0) {
+    close(pipe[1]);
+    // Returns once the child has closed the descriptors that it inherited: an address of the test that it holds can't be listened on again.
+    char none = 0;
+    const auto received = read(pipe[0], &none, 1);
+    close(pipe[0]);
+    if (process_ < 0 || received != 0) {
         throw std::runtime_error("fork failed");
     }
 }
@@ -127,6 +137,7 @@
 
 void DaemonProcess::signal(int number) const
 {
+    const std::lock_guard lock(mutex_);
     if (!exitCode_) {
         kill(process_, number);
     }
@@ -134,16 +145,26 @@
 
 std::optional<int> DaemonProcess::waitExit(std::chrono::seconds limit)
 {
+    std::optional<int> exitCode;
     waitUntil(
-        [this] {
+        [&] {
+            const std::lock_guard lock(mutex_);
             int status = 0;
             if (!exitCode_ && waitpid(process_, &status, WNOHANG) == process_) {
                 exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
             }
-            return exitCode_.has_value();
+            exitCode = exitCode_;
+            return exitCode.has_value();
         },
         limit);
-    return exitCode_;
+    return exitCode;
+}
+
+bool DaemonProcess::hasLogged() const
+{
+    std::error_code error;
+    const auto bytes = std::filesystem::file_size(folder_->path() + "/log", error);
+    return !error && bytes > 0;
 }
 
 std::string DaemonProcess::log() const
--- a/tests/daemon/daemon_process.h
+++ b/tests/daemon/daemon_process.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -40,7 +41,7 @@
     std::string path_;
 };
 
-/// A real medlarwayd process with a temporary folder. The destructor kills the process if it still runs.
+/// A real medlarwayd process with a temporary folder. The destructor kills the process if it still runs. Thread-safe.
 class DaemonProcess
 {
 public:
@@ -59,6 +60,12 @@
         folder_->write(file, text);
     }
 
+    /// Truncates a file of the folder and writes its lines one by one.
+    void writeInPlace(const std::string &file, const std::string &text, std::chrono::milliseconds pauseAfterLine) const
+    {
+        folder_->writeInPlace(file, text, pauseAfterLine);
+    }
+
     /// Waits until /readyz at the operator address responds with "ready"; false after the time limit.
     bool waitReady(const std::string &operatorAddress, std::chrono::seconds limit = std::chrono::seconds{10}) const;
 
@@ -68,6 +75,9 @@
     /// nullopt if it still runs after the time limit.
     std::optional<int> waitExit(std::chrono::seconds limit = std::chrono::seconds{10});
 
+    /// Whether the process has logged its first line. It catches signals from then on.
+    bool hasLogged() const;
+
     /// Everything that the process has logged so far.
     std::string log() const;
 
@@ -82,6 +92,7 @@
 private:
     std::shared_ptr<const DaemonFolder> folder_;
     pid_t process_ = -1;
+    mutable std::mutex mutex_; ///< guards exitCode_, so that no signal is sent to the id of a process that was reaped
     std::optional<int> exitCode_;
 };
 
--- a/tests/daemon/entry_process.h
+++ b/tests/daemon/entry_process.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "base/endpoint.h"
-#include "daemon/caller.h"
 
 #include <cstdint>
 #include <fmt/format.h>
@@ -27,10 +26,4 @@
                        address, zone, kPacketPort, kReadyPort, kControlPort, endpointToString(store), seed, kEntryGraceSeconds, kPeersPort);
 }
 
-/// Whether an entry host responds on its control address; it may not be ready yet.
-inline bool entryServes(const std::string &address)
-{
-    return httpRequest(fmt::format("{}:{}", address, kControlPort), "/state").status == 200;
-}
-
 } // namespace medlarway
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -15,9 +15,35 @@
 using namespace std::chrono_literals;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(FaultKind::Count)> kNames{
-    "stop",          "reload",       "change",       "replace",      "kill",         "kill-all",      "pause",        "crash",
-    "reuse",         "restart",      "store-busy",   "store-silent", "store-resets", "store-slow",    "history-gone", "store-cut",
-    "store-one-way", "store-broken", "store-frozen", "zone-cut",     "loss",         "store-returns", "odd-entry",
+    "stop",
+    "reload",
+    "change",
+    "replace",
+    "kill",
+    "kill-all",
+    "pause",
+    "crash",
+    "reuse",
+    "restart",
+    "store-busy",
+    "store-silent",
+    "store-resets",
+    "store-slow",
+    "history-gone",
+    "store-cut",
+    "store-one-way",
+    "store-broken",
+    "store-frozen",
+    "zone-cut",
+    "loss",
+    "store-returns",
+    "odd-entry",
+    "relaunch",
+    "slow-launch",
+    "handover",
+    "rewrite",
+    "rewrite-at-launch",
+    "signals-at-stop",
 };
 
 constexpr Duration kEarliestFault = 500ms;
@@ -64,6 +90,14 @@
             faults.push_back({at, FaultKind::OddEntry, random(), between(random, 300ms, 3s)});
         }
     }
+    if (options.supervisor) {
+        constexpr auto kFirst = static_cast<std::uint64_t>(FaultKind::Relaunch);
+        constexpr auto kKinds = static_cast<std::uint64_t>(FaultKind::Count) - kFirst;
+        for (auto at = kEarliestFault; at < options.length; at += between(random, 200ms, 1000ms)) {
+            const auto kind = static_cast<FaultKind>(kFirst + random.below(kKinds));
+            faults.push_back({at, kind, random(), between(random, 300ms, 3s)});
+        }
+    }
     std::stable_sort(faults.begin(), faults.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return faults;
 }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -20,6 +20,7 @@
     Duration length = std::chrono::seconds{12};
     bool storeReturns = false; ///< the store returns to older copies of its data, beside the other faults
     bool oddEntries = false; ///< another writer leaves entries that are not upstreams', beside the other faults
+    bool supervisor = false; ///< a supervisor restarts, signals and configures the hosts, beside the other faults
 };
 
 /// Planned work on the system, and faults that are injected into it.
@@ -49,6 +50,13 @@
     Loss, ///< one packet in five to upstreams is lost
     StoreReturns, ///< the store loses what is written from now on until it returns; drawn only with SoakOptions::storeReturns
     OddEntry, ///< another writer leaves an entry among those of the upstreams; drawn only with SoakOptions::oddEntries
+    // Work of a supervisor, drawn only with SoakOptions::supervisor.
+    Relaunch, ///< SIGKILL to a host, then a restart at once, and SIGHUP or SIGTERM during it
+    SlowLaunch, ///< the same with SIGHUP and little processor time
+    Handover, ///< SIGTERM to a host, and its next process starts at once beside it
+    Rewrite, ///< a host's settings are rewritten line by line, and SIGHUP meanwhile
+    RewriteAtLaunch, ///< SIGKILL to a host, then a restart while its settings are written
+    SignalsAtStop, ///< SIGTERM to a host, and more signals while it stops
     Count,
 };
 
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -47,7 +47,7 @@
     for (int host = 0; host < options_.hosts; ++host) {
         at(host).address = loopbackAddress(host + 1);
         markDisturbed(at(host), host, false);
-        start(host);
+        adopt(host, launch(host));
         boost::asio::co_spawn(platform_.context(), probeReadiness(host), boost::asio::detached);
         boost::asio::co_spawn(platform_.context(), watchConfig(host), boost::asio::detached);
     }
@@ -74,13 +74,32 @@
     }
 }
 
-void SoakFleet::start(int host)
+std::string SoakFleet::settings(int host)
 {
-    const auto store = platform_.storeOf(host);
-    auto &entry = at(host);
     const auto seed = loopbackAddress(1 + (host + 1) % options_.hosts);
-    entry.process = std::make_unique<DaemonProcess>(entrySettingsText(entry.address, zoneOf(host, options_.zones), store, seed), "");
+    return entrySettingsText(at(host).address, zoneOf(host, options_.zones), platform_.storeOf(host), seed);
+}
+
+std::shared_ptr<DaemonProcess> SoakFleet::launch(int host, bool withSettings)
+{
+    {
+        // Before the process can respond.
+        const std::lock_guard lock(mutex_);
+        ++at(host).starts;
+    }
+    const auto folder = std::make_shared<DaemonFolder>();
+    if (withSettings) {
+        folder->write("settings.yaml", settings(host));
+    }
+    return std::make_shared<DaemonProcess>(folder);
+}
+
+void SoakFleet::adopt(int host, std::shared_ptr<DaemonProcess> process)
+{
+    auto &entry = at(host);
     const std::lock_guard lock(mutex_);
+    entry.process = std::move(process);
+    entry.next.reset();
     entry.phase = Phase::Running;
     entry.since = monotonicNow();
     entry.paused = false;
@@ -95,9 +114,15 @@
     }
     checker_.record(fmt::format("host {} is killed", host));
     resume(host);
-    entry.process->signal(SIGKILL);
-    entry.process->waitExit();
+    for (const auto &process : {entry.process, entry.next}) {
+        if (process) {
+            process->signal(SIGKILL);
+            process->waitExit();
+        }
+    }
+    checkSettings(host);
     const std::lock_guard lock(mutex_);
+    entry.next.reset();
     markDisturbed(entry, host, true);
     entry.phase = Phase::Down;
     entry.since = monotonicNow();
@@ -110,13 +135,50 @@
         return;
     }
     checker_.record(fmt::format("host {} gets SIGTERM", host));
+    expectStop(host);
+    entry.process->signal(SIGTERM);
+}
+
+void SoakFleet::expectStop(int host)
+{
+    auto &entry = at(host);
     const std::lock_guard lock(mutex_);
     markDisturbed(entry, host, false);
-    entry.process->signal(SIGTERM);
     entry.phase = Phase::Stopping;
     entry.since = monotonicNow();
 }
 
+std::shared_ptr<DaemonProcess> SoakFleet::handOver(int host)
+{
+    stop(host);
+    if (isStopping(host) && !hasNext(host)) {
+        auto next = launch(host);
+        const std::lock_guard lock(mutex_);
+        at(host).next = std::move(next);
+    }
+    return at(host).next;
+}
+
+void SoakFleet::relaunch(int host, bool withSettings)
+{
+    kill(host);
+    adopt(host, launch(host, withSettings));
+}
+
+bool SoakFleet::hasNext(int host) const
+{
+    const std::lock_guard lock(mutex_);
+    return at(host).next != nullptr;
+}
+
+void SoakFleet::checkSettings(int host)
+{
+    const auto &process = at(host).process;
+    if (process && process->log().find(" SettingsRefused ") != std::string::npos) {
+        checker_.reportViolation(fmt::format("settings: host {} refused some: {}", host, process->logTail()));
+    }
+}
+
 void SoakFleet::pause(int host)
 {
     auto &entry = at(host);
@@ -141,11 +203,6 @@
     checker_.endDisturbance(livenessSubject(host));
 }
 
-void SoakFleet::reload(int host)
-{
-    at(host).process->signal(SIGHUP);
-}
-
 void SoakFleet::update()
 {
     for (int host = 0; host < options_.hosts; ++host) {
@@ -155,6 +212,12 @@
         if (exit && entry.phase == Phase::Running) {
             checker_.reportViolation(fmt::format("host {} exited unexpectedly with {}: {}", host, *exit, entry.process->logTail()));
         }
+        if (const auto nextExit = entry.next ? entry.next->waitExit(0s) : std::nullopt) {
+            checker_.reportViolation(
+                fmt::format("host {}, next process, exited unexpectedly with {}: {}", host, *nextExit, entry.next->logTail()));
+            const std::lock_guard lock(mutex_);
+            entry.next.reset();
+        }
         if (entry.phase == Phase::Stopping && (exit.value_or(0) != 0 || span > kGrace + kGraceSlack)) {
             checker_.reportViolation(fmt::format("stop: host {} {} after {:.2f} s: {}", host,
                                                  exit ? fmt::format("exited with {}", *exit) : "still runs",
@@ -163,12 +226,13 @@
             entry.process->waitExit();
         }
         if (exit || (entry.phase == Phase::Stopping && span > kGrace + kGraceSlack)) {
+            checkSettings(host);
             const std::lock_guard lock(mutex_);
             entry.phase = Phase::Down;
             entry.since = monotonicNow();
         }
-        if (entry.phase == Phase::Down && monotonicNow() - entry.since > kRestartDelay) {
-            start(host);
+        if (entry.phase == Phase::Down && (entry.next || monotonicNow() - entry.since > kRestartDelay)) {
+            adopt(host, entry.next ? entry.next : launch(host));
         }
     }
 }
@@ -180,12 +244,13 @@
     HttpClient reader(platform_.context(), endpointAt(entry.address, kReadyPort));
     boost::asio::steady_timer timer(platform_.context());
     for (;;) {
+        const auto starts = entry.starts;
         const auto reply = co_await reader.get("/v1/ready", kProbeTimeout, kProbeTimeout);
         const bool ready = reply && reply->status == kStatusOk;
         {
             const std::lock_guard lock(mutex_);
             entry.failedProbes = ready ? 0 : entry.failedProbes + 1;
-            if (ready && entry.phase == Phase::Running) {
+            if (ready && entry.phase == Phase::Running && entry.starts == starts) {
                 markServing(entry, host);
             }
         }
@@ -206,7 +271,7 @@
         const auto starts = entry.starts;
         const auto reply = co_await reader.get("/state", kProbeTimeout, kProbeTimeout);
         const auto state = reply ? nlohmann::json::parse(reply->body, nullptr, false) : nlohmann::json();
-        if (state.is_object() && starts == entry.starts) {
+        if (state.is_object() && !hasNext(host) && starts == entry.starts) {
             checkConfig(host, starts, state.value("configVersion", std::uint64_t{0}), lastVersion, lastStarts);
         }
         timer.expires_after(kConfigPollInterval);
@@ -263,7 +328,7 @@
 {
     const std::lock_guard lock(mutex_);
     return std::all_of(hosts_.begin(), hosts_.end(),
-                       [](const Host &host) { return host.phase == Phase::Running && host.failedProbes == 0; });
+                       [](const Host &host) { return host.phase == Phase::Running && host.failedProbes == 0 && !host.disturbed; });
 }
 
 } // namespace medlarway::soak
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -24,9 +24,32 @@
     /// Kills a host, or stops it gracefully; update() restarts it. Ignored if the state of the host does not allow it, e.g. if it is down.
     void kill(int host);
     void stop(int host);
+
+    /// Stops a host gracefully and starts its next process beside it. Returns that process, or null if the host does not stop.
+    std::shared_ptr<DaemonProcess> handOver(int host);
+
+    /// Kills a host and starts it again at once, with or without a file of its settings.
+    void relaunch(int host, bool withSettings);
+
+    /// Tells that something else sends SIGTERM to a host.
+    void expectStop(int host);
     void pause(int host);
     void resume(int host);
-    void reload(int host);
+
+    bool isStopping(int host) const
+    {
+        return at(host).phase == Phase::Stopping;
+    }
+
+    std::shared_ptr<DaemonProcess> process(int host) const
+    {
+        return at(host).process;
+    }
+
+    std::string settings(int host);
+
+    /// Checks that no host refused its settings, which are never wrong once they are complete.
+    void checkSettings(int host);
 
     /// Restarts hosts that are due, and checks the exit of those that were stopped. Must be called frequently.
     void update();
@@ -46,9 +69,10 @@
 
     struct Host {
         std::string address;
-        std::unique_ptr<DaemonProcess> process;
+        std::shared_ptr<DaemonProcess> process;
+        std::shared_ptr<DaemonProcess> next; ///< started beside the process, which is stopping
         Phase phase = Phase::Down;
-        int starts = 0;
+        int starts = 0; ///< changes whenever another process may respond
         Time since; ///< start of the phase
         bool paused = false;
         bool disturbed = false; ///< was stopped or killed, and is not ready yet
@@ -66,7 +90,9 @@
         return hosts_[static_cast<std::size_t>(host)];
     }
 
-    void start(int host);
+    std::shared_ptr<DaemonProcess> launch(int host, bool withSettings = true);
+    void adopt(int host, std::shared_ptr<DaemonProcess> process);
+    bool hasNext(int host) const;
     void markDisturbed(Host &entry, int host, bool failure);
     void markServing(Host &entry, int host);
     boost::asio::awaitable<void> probeReadiness(int host);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,6 +4,7 @@
 #include "soak/fleet.h"
 #include "soak/invariant_checker.h"
 #include "soak/platform.h"
+#include "soak/supervisor.h"
 
 #include <fmt/format.h>
 #include <functional>
@@ -34,6 +35,7 @@
         , platform_(platform)
         , fleet_(fleet)
         , checker_(checker)
+        , supervisor_(fleet, checker)
     {
     }
 
@@ -42,10 +44,10 @@
     /// Runs the scheduled actions that are due.
     void runDue();
 
-    /// Whether no scheduled action is left.
+    /// Whether no scheduled action is left, nor one of the supervisor.
     bool done() const
     {
-        return scheduled_.empty();
+        return scheduled_.empty() && supervisor_.idle();
     }
 
 private:
@@ -71,6 +73,7 @@
     SoakPlatform &platform_;
     SoakFleet &fleet_;
     InvariantChecker &checker_;
+    Supervisor supervisor_;
     std::vector<ScheduledAction> scheduled_;
     int storeFaults_ = 0;
 };
@@ -126,7 +129,7 @@
     case FaultKind::Stop:
         return fleet_.stop(host);
     case FaultKind::Reload:
-        return fleet_.reload(host);
+        return supervisor_.reload(host);
     case FaultKind::Change:
         return platform_.changeConfig();
     case FaultKind::Replace:
@@ -171,6 +174,13 @@
     case FaultKind::ZoneCut:
     case FaultKind::Loss:
         return injectLinkFault(fault);
+    case FaultKind::Relaunch:
+    case FaultKind::SlowLaunch:
+    case FaultKind::Handover:
+    case FaultKind::Rewrite:
+    case FaultKind::RewriteAtLaunch:
+    case FaultKind::SignalsAtStop:
+        return supervisor_.act(fault, host);
     case FaultKind::Count:
         return;
     }
@@ -284,6 +294,9 @@
     if (!fleet.allReady()) {
         checker.reportViolation("recovery: not every host is ready again");
     }
+    for (int host = 0; host < options.hosts; ++host) {
+        fleet.checkSettings(host);
+    }
     constexpr int kCheckerAddress = 250;
     StandinPacketClient client({parseAddress(loopbackAddress(kCheckerAddress)).value(), kPacketPort});
     for (const auto &route : platform.routes()) {
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -92,6 +92,16 @@
             checkSeed(options);
         }
     }
+    SUBCASE("while a supervisor restarts, signals and configures the hosts")
+    {
+        options.supervisor = true;
+        const auto first = environmentNumber("SOAK_SEED", 1);
+        const auto count = environmentNumber("SOAK_COUNT", 1);
+        for (std::uint64_t seed = first; seed < first + count; ++seed) {
+            options.seed = seed;
+            checkSeed(options);
+        }
+    }
     SUBCASE("on the selected seeds")
     {
         const auto first = environmentNumber("SOAK_SEED", 1);
--- a/tests/startup/start_test.cpp
+++ b/tests/startup/start_test.cpp
@@ -53,6 +53,11 @@
     bool (*serves)(const std::string &address);
 };
 
+bool entryServes(const std::string &address)
+{
+    return httpRequest(fmt::format("{}:{}", address, kControlPort), "/state").status == 200;
+}
+
 bool proxyServes(const std::string &address)
 {
     return httpRequest(address + ":9900", "/healthz").status != 0;
