sources: names that sources of one library repeated are defined once

Cause: anonymous namespaces of one library repeated the same names (the completion token six times, HTTP statuses, the end of a line, viewOf), some with other values. Change: equal definitions move to a header (base/completion.h, pages/http_status.h, proxy/http_headers.h, proxy/http_rules.h); those with another value or meaning get a name of their own. quoted() of the log becomes inQuotes(), since std::quoted is found for strings as well. No value changes.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -123,7 +123,7 @@
 }
 
 // Quotes a value so that a caller's bytes can neither break the line nor imitate a field.
-std::string quoted(std::string_view value)
+std::string inQuotes(std::string_view value)
 {
     std::string result = "\"";
     for (const char c : value) {
@@ -182,9 +182,9 @@
 
 std::string formatLogLine(const EventInfo &info, std::span<const LogField> fields)
 {
-    std::string line = fmt::format("{} {} {} {}", levelName(info.level), static_cast<int>(info.event), info.name, quoted(info.summary));
+    std::string line = fmt::format("{} {} {} {}", levelName(info.level), static_cast<int>(info.event), info.name, inQuotes(info.summary));
     for (const auto &entry : fields) {
-        line += fmt::format(" {}={}", entry.key, needsQuotes(entry.value) ? quoted(entry.value) : entry.value);
+        line += fmt::format(" {}={}", entry.key, needsQuotes(entry.value) ? inQuotes(entry.value) : entry.value);
     }
     return line;
 }
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr std::size_t kRingCapacity = 8192;
+constexpr std::size_t kControlRingCapacity = 8192;
 
 Time steadyNow()
 {
@@ -55,7 +55,7 @@
     , boot_(bootNumberFromClock())
     , engine_(engine)
     , core_(coreOptions(settings, boot_), steadyNow())
-    , thread_("control", kRingCapacity)
+    , thread_("control", kControlRingCapacity)
     , timer_(thread_.context())
 {
     if (settings_.peers) {
--- a/src/daemon/operator_server.cpp
+++ b/src/daemon/operator_server.cpp
@@ -8,12 +8,12 @@
 namespace
 {
 
-constexpr std::size_t kRingCapacity = 64;
+constexpr std::size_t kOperatorRingCapacity = 64;
 
 } // namespace
 
 OperatorServer::OperatorServer(const Endpoint &listen, PageHandler pages)
-    : thread_("operator", kRingCapacity)
+    : thread_("operator", kOperatorRingCapacity)
     , server_(thread_.context(), listen, std::move(pages))
 {
 }
--- a/src/daemon/platform_worker.cpp
+++ b/src/daemon/platform_worker.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr std::size_t kRingCapacity = 256;
+constexpr std::size_t kPlatformRingCapacity = 256;
 
 std::unique_ptr<PlatformSource> makeSource(boost::asio::io_context &context, const Settings &settings, PlatformSink sink)
 {
@@ -31,7 +31,7 @@
 } // namespace
 
 PlatformWorker::PlatformWorker(const Settings &settings, PlatformSink sink)
-    : thread_("platform", kRingCapacity)
+    : thread_("platform", kPlatformRingCapacity)
     , source_(makeSource(thread_.context(), settings, std::move(sink)))
 {
 }
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -6,6 +6,7 @@
 #include "entry/entry_pages.h"
 #include "entry/flow_log.h"
 #include "entry/store_pace.h"
+#include "pages/http_status.h"
 #include "peering/boot_number.h"
 #include "peering/codec.h"
 #include "peering/key_file.h"
@@ -26,11 +27,6 @@
 namespace
 {
 
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusNoContent = 204;
-constexpr unsigned kStatusNotFound = 404;
-constexpr unsigned kStatusUnavailable = 503;
-
 // Time until every router has stopped sending to a host that is not ready. They probe twice a second and skip a host after two failed
 // probes; later packets were already in flight.
 constexpr std::chrono::milliseconds kRouterFailoverTime{1600};
--- a/src/entry/peer_feed.cpp
+++ b/src/entry/peer_feed.cpp
@@ -4,6 +4,7 @@
 #include "base/errors.h"
 #include "entry/revision_text.h"
 #include "pages/http_client.h"
+#include "pages/http_status.h"
 #include "pages/query.h"
 #include "peering/boot_number.h"
 #include "peering/codec.h"
@@ -19,10 +20,6 @@
 namespace
 {
 
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusNoContent = 204;
-constexpr unsigned kStatusUnavailable = 503;
-
 // Time limits of a fetch: hosts are a few milliseconds apart, but a page may take a while on a link of 2 Mbit/s.
 constexpr std::chrono::milliseconds kConnectTimeout{300};
 constexpr std::chrono::milliseconds kFetchTimeout{2000};
--- a/src/entry/peer_snapshots.cpp
+++ b/src/entry/peer_snapshots.cpp
@@ -3,6 +3,7 @@
 #include "base/contained.h"
 #include "base/errors.h"
 #include "entry/revision_text.h"
+#include "pages/http_status.h"
 #include "pages/query.h"
 #include "peering/codec.h"
 #include "yaml/scalars.h"
@@ -18,8 +19,6 @@
 namespace
 {
 
-constexpr unsigned kStatusOk = 200;
-
 // Interval between requests. Lets a host that starts while it can't read the platform become ready within a second.
 constexpr std::chrono::milliseconds kRequestInterval{250};
 
--- a/src/pages/http_client.cpp
+++ b/src/pages/http_client.cpp
@@ -1,7 +1,7 @@
 #include "pages/http_client.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "base/completion.h"
+
 #include <boost/beast/http.hpp>
 
 namespace medlarway
@@ -14,9 +14,7 @@
 namespace http = boost::beast::http;
 using ErrorCode = boost::system::error_code;
 
-constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
-
-constexpr std::uint32_t kMaxHeadBytes = 8192;
+constexpr std::uint32_t kMaxResponseHeadBytes = 8192;
 
 } // namespace
 
@@ -50,7 +48,7 @@
     stream_.expires_after(toSteady(timeout));
     const auto [writeError, written] = co_await http::async_write(stream_, request, kWaitForCompletion);
     http::response_parser<http::string_body> parser;
-    parser.header_limit(kMaxHeadBytes);
+    parser.header_limit(kMaxResponseHeadBytes);
     parser.body_limit(kMaxBodyBytes);
     ErrorCode error = writeError;
     if (!error) {
--- a/src/pages/page_server.cpp
+++ b/src/pages/page_server.cpp
@@ -1,12 +1,11 @@
 #include "pages/page_server.h"
 
+#include "base/completion.h"
 #include "base/contained.h"
 #include "base/errors.h"
 #include "base/version.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
@@ -25,10 +24,9 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr int kMaxConnections = 64;
-constexpr std::uint32_t kMaxHeadBytes = 8192;
+constexpr std::uint32_t kMaxRequestHeadBytes = 8192;
 constexpr std::chrono::seconds kConnectionTimeout{10};
 constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
-constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
 
 // An exception in a page becomes a 500 response, so that the connection and the thread survive it.
 PageResponse callHandler(const PageHandler &handler, const std::string &target)
@@ -129,7 +127,7 @@
     while (open) {
         stream.expires_after(kConnectionTimeout);
         http::request_parser<http::empty_body> parser;
-        parser.header_limit(kMaxHeadBytes);
+        parser.header_limit(kMaxRequestHeadBytes);
         const auto [readError, read] = co_await http::async_read(stream, buffer, parser, kWaitForCompletion);
         if (readError) {
             break;
--- a/src/peering/control_socket.cpp
+++ b/src/peering/control_socket.cpp
@@ -1,16 +1,15 @@
 #include "peering/control_socket.h"
 
+#include "base/completion.h"
 #include "base/contained.h"
 #include "base/errors.h"
 #include "peering/codec.h"
 #include "peering/envelope.h"
 #include "peering/peer_framing.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <csignal>
@@ -31,8 +30,6 @@
 using asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
-
 constexpr std::size_t kMaxSealedBytes = kMaxMessageBytes + kEnvelopeBytes;
 
 // Accepting may fail repeatedly, for example without free file descriptors; the delay avoids a busy loop.
--- a/src/peering/peer_connection.cpp
+++ b/src/peering/peer_connection.cpp
@@ -1,17 +1,16 @@
 #include "peering/peer_connection.h"
 
 #include "base/backoff.h"
+#include "base/completion.h"
 #include "base/contained.h"
 #include "peering/peer_framing.h"
 
 #include <array>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <utility>
@@ -24,8 +23,6 @@
 
 namespace asio = boost::asio;
 
-constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
-
 // Messages that wait for one host; later ones are dropped.
 constexpr std::size_t kMaxQueued = 64;
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/backoff.h"
 #include "base/counters.h"
+#include "pages/http_status.h"
 #include "pages/query.h"
 #include "yaml/scalars.h"
 
@@ -15,8 +16,6 @@
 namespace
 {
 
-constexpr unsigned kStatusOk = 200;
-
 constexpr std::uint32_t kMaxDoublings = 8;
 
 constexpr std::string_view kEraHeader = "Store-Era";
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -1,11 +1,10 @@
 #include "platform/store_feed.h"
 
+#include "base/completion.h"
 #include "base/contained.h"
 #include "base/errors.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 #include <utility>
 
@@ -17,8 +16,6 @@
 
 namespace asio = boost::asio;
 
-constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
-
 constexpr std::string_view kConfigKey = "op/config";
 constexpr std::string_view kUpstreamPrefix = "servers/";
 
--- a/src/platform/store_source.cpp
+++ b/src/platform/store_source.cpp
@@ -1,15 +1,14 @@
 #include "platform/store_source.h"
 
+#include "base/completion.h"
 #include "base/contained.h"
 #include "base/errors.h"
 #include "base/random.h"
 #include "platform/platform_value.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -25,7 +24,6 @@
 
 constexpr auto kRedeliverInterval = std::chrono::milliseconds{100};
 constexpr auto kEarlyResponsePause = std::chrono::seconds{1};
-constexpr auto kWaitForCompletion = asio::as_tuple(asio::use_awaitable);
 
 // A watched key and its own connection to the store.
 struct KeyWatch {
--- a/src/proxy/http_attempt.cpp
+++ b/src/proxy/http_attempt.cpp
@@ -21,11 +21,6 @@
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kUnavailable = 503;
 
-std::string_view viewOf(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 // Whether the upstream refused the request without running it. For a protected request the status
 // alone is no proof, since an intermediate gateway may generate it; Retry-After shows that the
 // upstream itself sheds load.
@@ -195,7 +190,7 @@
         if (read.size == 0) {
             co_return failedAttempt(read.error ? ErrorKind::UpstreamBadAnswer : ErrorKind::UpstreamLost);
         }
-        if (checkResponseHead(medlarway::viewOf(input).substr(0, read.size))) {
+        if (checkResponseHead(viewOf(input).substr(0, read.size))) {
             co_return failedAttempt(ErrorKind::UpstreamBadAnswer);
         }
         ResponseParser parser;
--- a/src/proxy/http_exchange.cpp
+++ b/src/proxy/http_exchange.cpp
@@ -19,11 +19,6 @@
 // Number of upstreams that a feed tries.
 constexpr int kMaxFeedAttempts = 3;
 
-std::string_view viewOf(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 std::string_view pathOf(std::string_view target)
 {
     return target.substr(0, target.find('?'));
--- a/src/proxy/http_headers.cpp
+++ b/src/proxy/http_headers.cpp
@@ -23,11 +23,6 @@
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
 
-std::string_view viewOf(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 // Whether a comma-separated list contains the item.
 bool listContains(std::string_view list, std::string_view item)
 {
--- a/src/proxy/http_headers.h
+++ b/src/proxy/http_headers.h
@@ -19,6 +19,12 @@
 using RequestHead = http::request_header<>;
 using ResponseHead = http::response_header<>;
 
+/// A text of Beast as a text of the standard library.
+inline std::string_view viewOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
 /// How the end of a body is determined.
 enum class BodyKind : std::uint8_t {
     None,
--- a/src/proxy/http_io.cpp
+++ b/src/proxy/http_io.cpp
@@ -17,9 +17,8 @@
 {
 
 // Consecutive reads of one connection before it yields to the others of the thread.
-constexpr int kMaxReadsPerTurn = 16;
+constexpr int kMaxBodyReadsPerTurn = 16;
 
-constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 bool mustStop(const HttpConnection &connection, const RelayState &state)
@@ -169,7 +168,7 @@
     const bool chunked = state.kind == BodyKind::Chunked;
     ReadBuffer readBuffer(connection.runner().thread());
     for (int turn = 0; !mustStop(connection, state); ++turn) {
-        if (turn == kMaxReadsPerTurn) {
+        if (turn == kMaxBodyReadsPerTurn) {
             turn = 0;
             co_await asio::post(sink.get_executor(), asio::use_awaitable);
         }
--- a/src/proxy/http_rules.cpp
+++ b/src/proxy/http_rules.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::size_t kMaxLengthDigits = 18; // any number of this many digits fits into 64 bits
 constexpr std::size_t kMaxDeadlineDigits = 12;
--- a/src/proxy/http_rules.h
+++ b/src/proxy/http_rules.h
@@ -11,6 +11,9 @@
 namespace medlarway
 {
 
+/// The end of every line of a head.
+inline constexpr std::string_view kLineEnd = "\r\n";
+
 /// The result of scanning bytes that should start with a head.
 struct HeadScan {
     enum class State : std::uint8_t {
--- a/src/proxy/stream_service.cpp
+++ b/src/proxy/stream_service.cpp
@@ -17,7 +17,7 @@
 constexpr int kMaxConnectAttempts = 3;
 
 // Consecutive reads of one connection before it yields to the others of the thread.
-constexpr int kMaxReadsPerTurn = 8;
+constexpr int kMaxStreamReadsPerTurn = 8;
 
 // Connects one stream to an upstream, then relays bytes in both directions. Nothing is read from the caller
 // before an upstream is connected, so a failed connect can be retried at another upstream, and no byte is
@@ -164,7 +164,7 @@
     void relay(std::size_t from)
     {
         const auto scratch = runner_->thread().scratch();
-        for (int turn = 0; turn < kMaxReadsPerTurn; ++turn) {
+        for (int turn = 0; turn < kMaxStreamReadsPerTurn; ++turn) {
             ErrorCode error;
             const auto size = sockets_[from].read_some(asio::buffer(scratch.data(), scratch.size()), error);
             if (isWouldBlock(error)) {
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -19,7 +19,7 @@
 constexpr double kMaxGraceSeconds = 3600;
 constexpr double kMinBoundMs = 1000; // below, hosts could not confirm their data in time
 constexpr double kMaxBoundMs = 600'000;
-constexpr Range<std::uint32_t> kFlows{1, 100'000'000};
+constexpr Range<std::uint32_t> kFlowsPerHost{1, 100'000'000};
 
 void readSeeds(MapReader &reader, Faults &faults, std::vector<Endpoint> &seeds)
 {
@@ -71,7 +71,7 @@
     readDuration<std::milli>(reader, "config-bound-ms", kMinBoundMs, kMaxBoundMs, settings.configBound);
     reader.text("key-file", settings.keyFile);
     reader.text("previous-key-file", settings.previousKeyFile);
-    reader.number("flows", settings.flows, kFlows);
+    reader.number("flows", settings.flows, kFlowsPerHost);
     reader.rejectUnknownKeys();
     if (settings.ready.port != 0 && settings.ready == settings.control) {
         reader.addError("control", "must differ from ready");
