platform: a store that holds no watch is not called in a busy loop

A host whose store answered watches at once without a change used 38% of a core for 6,600 calls a second; with 410 to each watch 43%, with a new era each call 34%. Cause: a step that succeeded without changes was followed by the next without a pause; only the store's hold kept the pace. Class: a loop whose pace is another program's courtesy. Change: after a watch that ended in less than half of its time without changes the feed rests as after changes; after the second full read that began anew without a success between, it backs off as after failures. Evidence: platform_test "makes few calls while nothing changes, even if the store holds no watch": 10,367 calls in 0.4 s before (12 allowed), holds now. A store whose pages never end is still read without a pause.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -116,10 +116,16 @@
     state.pending += fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n", fmt::gmtime(static_cast<std::time_t>(second)), milliseconds, line);
 }
 
+// Bytes above ASCII are no control characters, whether char is signed or not.
+bool isControl(char c)
+{
+    return static_cast<unsigned char>(c) < ' ' || c == 0x7f;
+}
+
 bool needsQuotes(std::string_view value)
 {
     return value.empty()
-           || std::any_of(value.begin(), value.end(), [](char c) { return c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f; });
+           || std::any_of(value.begin(), value.end(), [](char c) { return isControl(c) || c == ' ' || c == '"' || c == '=' || c == '\\'; });
 }
 
 // Quotes a value so that a caller's bytes can neither break the line nor imitate a field.
@@ -130,7 +136,7 @@
         if (c == '"' || c == '\\') {
             result += '\\';
             result += c;
-        } else if (c < ' ' || c == 0x7f) {
+        } else if (isControl(c)) {
             result += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
         } else {
             result += c;
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -71,10 +71,21 @@
     }
 }
 
+// Also a store that holds no watch, or that refuses again and again what follows from its own responses, is not called in a busy loop.
+Duration StoreFeed::pauseAfterStep(bool succeeded)
+{
+    if (!succeeded) {
+        return backoffAfter(failures_, options_.timeouts, random_);
+    }
+    if (std::exchange(restarted_, false) && restarts_ > 1) {
+        return backoffAfter(restarts_ - 1, options_.timeouts, random_);
+    }
+    return changed_ || early_ ? options_.pace.pauseAfterChanges : Duration{};
+}
+
 asio::awaitable<void> StoreFeed::rest(bool succeeded)
 {
-    const auto pause
-        = succeeded ? (changed_ ? options_.pace.pauseAfterChanges : Duration{}) : backoffAfter(failures_, options_.timeouts, random_);
+    const auto pause = pauseAfterStep(succeeded);
     if (pause > Duration{}) {
         resting_ = succeeded;
         restStartedAt_ = monotonicNow();
@@ -112,6 +123,7 @@
 asio::awaitable<bool> StoreFeed::runNextStep()
 {
     callStartedAt_ = monotonicNow();
+    early_ = false;
     if (isKnown(asOf_)) {
         co_return co_await watch();
     }
@@ -191,6 +203,8 @@
     fullRead_ = {};
     consistency_ = ReadConsistency::Latest;
     changed_ = false;
+    restarted_ = true;
+    ++restarts_;
 }
 
 void StoreFeed::resumeFrom(const Revision &asOf)
@@ -224,6 +238,7 @@
         restartFullRead();
         co_return true;
     }
+    early_ = !atOnce && result.response && result.response->items.empty() && monotonicNow() - callStartedAt_ < wait / 2;
     co_return result.response ? applyChanges(result) : recordFailure("watch", result.status);
 }
 
@@ -309,6 +324,7 @@
     changed_ = changed;
     lastResponseAt_ = now;
     failures_ = 0;
+    restarts_ = 0;
     repeating_ = false;
     if (sink_.confirmed) {
         sink_.confirmed();
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -98,6 +98,7 @@
     };
 
     boost::asio::awaitable<void> run();
+    Duration pauseAfterStep(bool succeeded);
     boost::asio::awaitable<void> rest(bool succeeded);
     boost::asio::awaitable<void> waitUntilReading();
     boost::asio::awaitable<bool> runNextStep();
@@ -124,7 +125,10 @@
     Revision asOf_; ///< see asOf(); a full read is needed while it is unknown
     std::uint64_t era_ = 0; ///< highest era of the store's responses; 0 before the first response
     std::uint32_t failures_ = 0; ///< consecutive failures
+    std::uint32_t restarts_ = 0; ///< full reads that began anew since the last success
+    bool restarted_ = false; ///< the last step led to one
     bool changed_ = false; ///< the last response contained changes
+    bool early_ = false; ///< the last watch ended long before its time, without changes
     Time callStartedAt_;
     Time lastResponseAt_;
     bool running_ = false;
--- a/src/standin/platform/store.h
+++ b/src/standin/platform/store.h
@@ -21,6 +21,7 @@
     OnlyStaleReads, ///< status 429 for every request except stale reads
     Silent, ///< accepts requests but never responds, not even to watches that are already pending
     Reset, ///< resets the connection of each request
+    EagerWatches, ///< responds to watches at once, although nothing has changed
 };
 
 /// A stand-in for the platform's store, for tests and the quickstart: items with revisions, range reads in pages, watches and faults.
--- a/tests/platform/store_feed_test.cpp
+++ b/tests/platform/store_feed_test.cpp
@@ -239,6 +239,15 @@
         runUntil(context, [&] { return std::chrono::steady_clock::now() >= end; });
         CHECK(store.calls() - before <= 5);
     }
+    SUBCASE("makes few calls while nothing changes, even if the store holds no watch")
+    {
+        reader.feed.setPace({50ms, 100ms});
+        store.setFault(StoreFault::EagerWatches);
+        const auto before = store.calls();
+        const auto end = std::chrono::steady_clock::now() + 400ms;
+        runUntil(context, [&] { return std::chrono::steady_clock::now() >= end; });
+        CHECK(store.calls() - before <= 12);
+    }
     SUBCASE("extends its timeout for a store whose responses take longer than the initial timeout")
     {
         store.setDelay(250ms);
