--- a/tests/base/base_test.cpp
+++ b/tests/base/base_test.cpp
@@ -71,6 +71,11 @@
         const std::array fields{field("path", "a\n802 b=\"c\"")};
         CHECK(formatLogLine(eventInfo(Event::BadRequest), fields).ends_with(R"(path="a\x0a802 b=\"c\"")"));
     }
+    SUBCASE("leaves bytes above ASCII as they are, also where char is signed")
+    {
+        const std::array fields{field("path", "/caf\xc3\xa9")};
+        CHECK(formatLogLine(eventInfo(Event::BadRequest), fields).ends_with("path=/caf\xc3\xa9"));
+    }
 }
 
 TEST_CASE("a ring")
