--- a/tests/peering/peering_test.cpp
+++ b/tests/peering/peering_test.cpp
@@ -371,6 +371,7 @@
             throw std::runtime_error("fault of the handler");
         }
     });
+    receiver.start();
     RelaySocket sender(context, freeEndpoint(), [](std::string_view) {});
     CHECK(sender.send(hostIdOf(endpoint), "first"));
     CHECK(runUntil(context, [&] { return calls == 1; }));
