tests: the line of an unreachable upstream is awaited, as it is logged after the resets are sent

The host sends the resets, then logs the line; the clients' threads end with the resets, and the log is read at once, so the order of two processes decided. Change: the line is awaited for the usual limit. It must still come; nothing else is relaxed.

--- a/tests/entry_daemon/entry_host_test.cpp
+++ b/tests/entry_daemon/entry_host_test.cpp
@@ -415,6 +415,6 @@
             thread.join();
         }
         CHECK(resets == 3);
-        CHECK(host.log().find("UpstreamUnreachable") != std::string::npos);
+        CHECK(waitUntil([&] { return host.log().find("UpstreamUnreachable") != std::string::npos; })); // logged after the resets are sent
     }
 }
