--- a/review/standin-2/case_drain.cpp
+++ b/review/standin-2/case_drain.cpp
@@ -7,6 +7,7 @@
 #include "upstream.h"
 
 #include <algorithm>
+#include <csignal>
 
 using namespace lab;
 
@@ -22,6 +23,12 @@
 constexpr Milliseconds kDeadline{2000};
 const Address kRoute{0xc6120001, 443};
 
+/// What happens to the host that the others follow.
+enum class Part : std::uint8_t {
+    LateAnswers, ///< the store's answers reach it late from a moment on
+    CutAndLoss, ///< it is cut off from the store for a moment, and loses power as an answer that was held up has arrived
+};
+
 struct Flow {
     std::size_t host = 0; ///< to which its packets are sent
 };
@@ -50,17 +57,24 @@
         record_.line("host " + std::to_string(*reader + 1) + " reads the store, the others follow it");
         openFlows();
         loop_.runFor(kStable);
-        drain(*reader);
-        loop_.runFor(kDrainBound + Milliseconds{2500});
+        auto late = play(Part::LateAnswers, *reader);
+        store_.setDelay(*reader, Milliseconds{0});
+        loop_.runFor(2 * kStable);
+        late += play(Part::CutAndLoss, *reader);
         opening_ = false;
         loop_.runFor(Milliseconds{500});
-        return judge(*reader);
+        const auto answered = outcomes_[Client::Outcome::Answered];
+        record_.line("flows opened: " + std::to_string(opened_) + ", answered: " + std::to_string(answered));
+        if (answered * 10 < opened_ * 8) {
+            return kNotRun;
+        }
+        return late > 0 ? kBroken : kHeld;
     }
 
 private:
     void startAll()
     {
-        for (std::size_t i = 0; i < kUpstreams + 1; ++i) {
+        for (std::size_t i = 0; i < kUpstreams + 2; ++i) {
             addUpstream(i);
         }
         store_.put("op/config", configOf(1, {{kRoute, "records"}}));
@@ -133,9 +147,14 @@
         client_.close(request.client);
     }
 
-    // The case begins right after the reader's watch has arrived: the link is harmed at a moment in the second that a watch lasts.
-    void drain(std::size_t reader)
+    // Begins right after the reader's watch has arrived: the link is harmed at a moment in the second that a watch lasts. Returns the
+    // number of late opening packets through the other hosts.
+    std::size_t play(Part part, std::size_t reader)
     {
+        const auto number = static_cast<std::size_t>(part);
+        const auto readerName = "host " + std::to_string(reader + 1);
+        late_.clear();
+        lastTaken_.clear();
         loop_.runUntil(
             [&] {
                 const auto since = store_.pendingWatchSince(reader);
@@ -144,26 +163,35 @@
             Milliseconds{4000});
         if (scenario_.trouble) {
             store_.setDelay(reader, kAnswerDelay);
-            record_.line("from now on the store's answers reach host " + std::to_string(reader + 1) + " "
-                         + std::to_string(kAnswerDelay.count()) + " ms late");
+            record_.line(part == Part::LateAnswers ? "from now on the store's answers reach " + readerName + " 1500 ms late"
+                                                   : readerName + " is cut off from the store for 1500 ms");
         }
         loop_.runFor(Milliseconds{10});
-        const auto &added = *upstreams_[kUpstreams];
+        const auto &added = *upstreams_[kUpstreams + number];
         store_.put("servers/" + added.options().id, entryOf(added, "records", "a", "ready", kBorn));
         record_.line("endpoint " + added.options().id + " registers");
+        if (scenario_.trouble && part == Part::CutAndLoss) {
+            loop_.after(kAnswerDelay - Milliseconds{10}, [this, reader] { store_.setDelay(reader, Milliseconds{0}); });
+            loop_.after(kAnswerDelay + Milliseconds{40}, [this, reader, readerName] {
+                record_.line(readerName + " loses power");
+                hosts_.signal(reader, SIGKILL);
+            });
+        }
         loop_.runFor(Milliseconds{10});
-        const auto &leaving = *upstreams_[0];
-        store_.put("servers/" + leaving.options().id, entryOf(leaving, "records", "a", "draining", kBorn));
+        leaving_ = upstreams_[number].get();
+        store_.put("servers/" + leaving_->options().id, entryOf(*leaving_, "records", "a", "draining", kBorn));
         drainedAt_ = Clock::now();
-        record_.line("the store has acknowledged that endpoint " + leaving.options().id + " is draining");
+        record_.line("the store has acknowledged that endpoint " + leaving_->options().id + " is draining");
+        loop_.runFor(kDrainBound + Milliseconds{2500});
+        return judge(reader);
     }
 
     void onSynTaken(const Upstream &upstream, const Packet &packet)
     {
-        if (!drainedAt_ || &upstream != upstreams_[0].get()) {
+        if (&upstream != leaving_) {
             return;
         }
-        const auto after = std::chrono::duration_cast<Milliseconds>(Clock::now() - *drainedAt_);
+        const auto after = std::chrono::duration_cast<Milliseconds>(Clock::now() - drainedAt_);
         const auto host = flows_[packet.source].host;
         auto &last = lastTaken_[host];
         last = std::max(last, after);
@@ -172,22 +200,16 @@
         }
     }
 
-    int judge(std::size_t reader)
+    std::size_t judge(std::size_t reader)
     {
         std::size_t late = 0;
         for (std::size_t host = 0; host < kHosts; ++host) {
-            record_.line("host " + std::to_string(host + 1)
-                         + (host == reader && scenario_.trouble ? " (its link to the store is harmed)" : "")
+            record_.line("host " + std::to_string(host + 1) + (host == reader && scenario_.trouble ? " (disturbed, not judged)" : "")
                          + ": last opening packet to the draining endpoint " + std::to_string(lastTaken_[host].count())
                          + " ms after the confirmation; later than the bound: " + std::to_string(late_[host]));
             late += host == reader ? 0 : late_[host];
         }
-        const auto answered = outcomes_[Client::Outcome::Answered];
-        record_.line("flows opened: " + std::to_string(opened_) + ", answered: " + std::to_string(answered));
-        if (answered * 10 < opened_ * 9) {
-            return kNotRun;
-        }
-        return late > 0 ? kBroken : kHeld;
+        return late;
     }
 
     static constexpr long long kBorn = 1'760'000'000'000;
@@ -203,7 +225,8 @@
     std::map<Client::Outcome, std::size_t> outcomes_;
     std::map<std::size_t, std::size_t> late_; ///< opening packets beyond the bound, by host
     std::map<std::size_t, Milliseconds> lastTaken_;
-    std::optional<Time> drainedAt_;
+    const Upstream *leaving_ = nullptr; ///< the draining endpoint
+    Time drainedAt_;
     std::size_t opened_ = 0;
     bool opening_ = true;
 };
