--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,7 +5,7 @@
 cd "$here/../.."
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 5 110 target/review-2/token target/src/daemon/medlarwayd "$here/record.txt" "$folder"
+timeout -k 5 110 target/review-2/handshake target/src/daemon/medlarwayd "$here/record.txt" "$folder"
 result=$?
 [ "$result" -le 1 ] || result=2
 exit "$result"
--- a/review/standin-2/client.cpp
+++ b/review/standin-2/client.cpp
@@ -44,6 +44,7 @@
     flow.firstSequence = nextSequence_ += 7'654'321;
     flow.sent = flow.firstSequence + 1;
     flow.acknowledgedByPeer = flow.firstSequence;
+    flow.losesSynAck = lossInterval_ != 0 && client.port % lossInterval_ == 0;
     flows_[client] = flow;
     requests_[client] = {client, route, id, Clock::now(), {}, Outcome::Pending};
     for (std::uint32_t copy = 0; copy < kSynTimes.size(); ++copy) {
@@ -113,7 +114,7 @@
         onReset(flow, packet, from);
         return;
     }
-    if (flow.ended || !hasValidSum(packet)) {
+    if (flow.ended || !hasValidSum(packet) || ((packet.flags & kSyn) != 0 && std::exchange(flow.losesSynAck, false))) {
         return;
     }
     flow.echo = packet.echo;
--- a/review/standin-2/client.h
+++ b/review/standin-2/client.h
@@ -58,6 +58,12 @@
     /// Sends a further request on an open flow.
     void request(const Address &client, const std::string &id, Milliseconds deadline);
 
+    /// From now on the network loses the first SYN-ACK of every n-th flow; 0: of none.
+    void loseSynAcks(unsigned everyFlow)
+    {
+        lossInterval_ = everyFlow;
+    }
+
     /// Closes the flow.
     void close(const Address &client);
 
@@ -77,6 +83,7 @@
         std::uint32_t echo = 0;
         bool open = false;
         bool ended = false;
+        bool losesSynAck = false; ///< the network loses its next SYN-ACK
         std::string response;
     };
 
@@ -93,6 +100,7 @@
     Router router_;
     Observer observer_;
     int udp_ = -1;
+    unsigned lossInterval_ = 0;
     std::uint16_t nextPort_ = 1024;
     std::uint32_t nextSequence_ = 0x10203040;
     std::map<Address, Flow> flows_;
