--- a/review/standin-2/case_drain.cpp
+++ b/review/standin-2/case_drain.cpp
@@ -41,7 +41,7 @@
         , record_(scenario.recordFile)
         , store_(loop_)
         , hosts_(loop_, scenario.program, scenario.folder)
-        , client_(loop_, {0x7f000201, hosts_.packetPort()}, [this](const Address &client, const Address &) { return choose(client); },
+        , client_(loop_, {loopback(0x0201), hosts_.packetPort()}, [this](const Address &client, const Address &) { return choose(client); },
                   {[this](const Client::Request &request) { onFinished(request); }, [](const Client::ResetSeen &) {}})
     {
     }
@@ -97,7 +97,7 @@
 
     void addUpstream(std::size_t i)
     {
-        const std::uint32_t ip = 0x7f000101 + static_cast<std::uint32_t>(i);
+        const std::uint32_t ip = loopback(0x0101) + static_cast<std::uint32_t>(i);
         Upstream::Options options;
         options.id = "i-a" + std::to_string(i + 1);
         options.address = {ip, findFreePort({ip})};
--- a/review/standin-2/case_handshake.cpp
+++ b/review/standin-2/case_handshake.cpp
@@ -34,7 +34,7 @@
         , store_(loop_)
         , hosts_(loop_, scenario.program, scenario.folder)
         , client_(
-              loop_, {0x7f000201, hosts_.packetPort()}, [this](const Address &client, const Address &) { return choose(client); },
+              loop_, {loopback(0x0201), hosts_.packetPort()}, [this](const Address &client, const Address &) { return choose(client); },
               {[this](const Client::Request &request) { onFinished(request); }, [this](const Client::ResetSeen &seen) { onReset(seen); }})
     {
     }
@@ -64,7 +64,7 @@
     {
         store_.put("op/config", configOf(1, {{kRoute, "records"}}));
         for (std::size_t i = 0; i < kUpstreams; ++i) {
-            const std::uint32_t ip = 0x7f000101 + static_cast<std::uint32_t>(i);
+            const std::uint32_t ip = loopback(0x0101) + static_cast<std::uint32_t>(i);
             Upstream::Options options;
             options.id = "i-c" + std::to_string(i + 1);
             options.address = {ip, findFreePort({ip})};
--- a/review/standin-2/case_route.cpp
+++ b/review/standin-2/case_route.cpp
@@ -37,7 +37,7 @@
         , store_(loop_)
         , hosts_(loop_, scenario.program, scenario.folder)
         , client_(
-              loop_, {0x7f000201, hosts_.packetPort()}, [this](const Address &, const Address &) { return choose(); },
+              loop_, {loopback(0x0201), hosts_.packetPort()}, [this](const Address &, const Address &) { return choose(); },
               {[this](const Client::Request &request) { onFinished(request); }, [this](const Client::ResetSeen &seen) { onReset(seen); }})
     {
     }
@@ -68,7 +68,7 @@
     void startAll()
     {
         for (std::size_t i = 0; i < kUpstreams; ++i) {
-            const std::uint32_t ip = 0x7f000101 + static_cast<std::uint32_t>(i);
+            const std::uint32_t ip = loopback(0x0101) + static_cast<std::uint32_t>(i);
             Upstream::Options options;
             options.id = "i-b" + std::to_string(i + 1);
             options.address = {ip, findFreePort({ip})};
--- a/review/standin-2/case_token.cpp
+++ b/review/standin-2/case_token.cpp
@@ -32,7 +32,7 @@
         , store_(loop_)
         , hosts_(loop_, scenario.program, scenario.folder)
         , client_(
-              loop_, {0x7f000201, hosts_.packetPort()}, [this](const Address &client, const Address &) { return choose(client); },
+              loop_, {loopback(0x0201), hosts_.packetPort()}, [this](const Address &client, const Address &) { return choose(client); },
               {[this](const Client::Request &request) { onFinished(request); }, [this](const Client::ResetSeen &seen) { onReset(seen); }})
     {
     }
@@ -93,7 +93,7 @@
 
     Upstream *addUpstream(const std::string &id)
     {
-        const std::uint32_t ip = 0x7f000101 + static_cast<std::uint32_t>(upstreams_.size());
+        const std::uint32_t ip = loopback(0x0101) + static_cast<std::uint32_t>(upstreams_.size());
         Upstream::Options options;
         options.id = id;
         options.address = {ip, findFreePort({ip})};
--- a/review/standin-2/hosts.cpp
+++ b/review/standin-2/hosts.cpp
@@ -19,7 +19,7 @@
 namespace
 {
 
-constexpr std::uint32_t kFirstHost = 0x7f000301; // 127.0.3.1
+constexpr std::uint32_t kFirstHost = 0x0301; // 127.x.3.1
 constexpr std::size_t kMostHosts = 8;
 constexpr Milliseconds kProbeInterval{500};
 constexpr Milliseconds kProbeLimit{450};
@@ -50,9 +50,9 @@
     , program_(std::move(program))
     , folder_(std::move(folder))
 {
-    std::vector<std::uint32_t> ips{0x7f000201}; // 127.0.2.1, the clients
+    std::vector<std::uint32_t> ips{loopback(0x0201)}; // the clients
     for (std::uint32_t host = 0; host < kMostHosts; ++host) {
-        ips.push_back(kFirstHost + host);
+        ips.push_back(loopback(kFirstHost) + host);
     }
     for (auto *port : {&packetPort_, &readyPort_, &controlPort_, &peersPort_}) {
         *port = findFreePort(ips);
@@ -74,7 +74,7 @@
     Host host;
     host.name = "edge-" + std::to_string(hosts_.size() + 1);
     host.zone = zone;
-    host.ip = kFirstHost + static_cast<std::uint32_t>(hosts_.size());
+    host.ip = loopback(kFirstHost) + static_cast<std::uint32_t>(hosts_.size());
     host.store = store;
     hosts_.push_back(host);
     return hosts_.size() - 1;
--- a/review/standin-2/loop.cpp
+++ b/review/standin-2/loop.cpp
@@ -62,6 +62,12 @@
     return octet(24) + "." + octet(16) + "." + octet(8) + "." + octet(0) + ":" + std::to_string(address.port);
 }
 
+std::uint32_t loopback(std::uint32_t low)
+{
+    constexpr std::uint32_t kBlocks = 250;
+    return 0x7f000000 | ((1 + static_cast<std::uint32_t>(::getpid()) % kBlocks) << 16U) | low;
+}
+
 std::uint16_t findFreePort(const std::vector<std::uint32_t> &ips)
 {
     constexpr std::uint16_t kFirst = 20000;
--- a/review/standin-2/loop.h
+++ b/review/standin-2/loop.h
@@ -25,6 +25,9 @@
 /// The address as "a.b.c.d:port".
 std::string toText(const Address &address);
 
+/// A loopback address of this process: 127.x.y.z, where x differs between processes that run at the same time and low gives y and z.
+std::uint32_t loopback(std::uint32_t low);
+
 /// A port that is free at the time of the call for both TCP and UDP at all of the addresses; 0 if there is none.
 std::uint16_t findFreePort(const std::vector<std::uint32_t> &ips);
 
--- a/review/standin-2/store.cpp
+++ b/review/standin-2/store.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-constexpr std::uint32_t kLoopback = 0x7f000001;
 constexpr std::size_t kPageItems = 500;
 
 std::string inBase64(const std::string &bytes)
@@ -259,7 +258,8 @@
 
 Address Store::addLink()
 {
-    const Address address{kLoopback, findFreePort({kLoopback})};
+    const auto ip = loopback(1);
+    const Address address{ip, findFreePort({ip})};
     const auto link = impl_->links.size();
     impl_->links.emplace_back();
     const int listener = listenTcp(address);
