steering: a host without a route resets only flows that were open there

Cause: a host without a route reset packets whose token it could not decode as that of an open flow. Packets that follow a SYN carry the opening token until the upstream has sent more than its SYN-ACK, and more forms led to the same reset: the token of an upstream that the host lacks, later packets of the first request, and a route that was removed and added again within the host's lag, where any token was reset.

Change: what a host can decode says nothing about a route. Any packet but a SYN shows that an upstream has responded, so that some host had the route. Such packets are reset only if the flow was open on this host when it applied the removal; otherwise they are left unanswered (route-unsure). SYNs are reset as before. The list of removed routes is gone.

--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -80,11 +80,14 @@
     return packet.syn ? onSyn(packet, *route, now) : forward(packet, now);
 }
 
+// Only a flow that was open here before is known to have lost its route. Any other may have been placed by a host with a newer
+// configuration, which has the route, or has it again: its packets then prove nothing but that an upstream has responded.
 SteeringDecision FlowSteering::rejectUnrouted(const FlowPacket &packet, Time now)
 {
+    const auto known = flows_.find(packet.flow);
+    const bool wasOpenHere = known != flows_.end() && !known->second.synSent;
     removeFlow(packet.flow);
-    // An open flow on a route that this host never had was placed by another host with a newer configuration.
-    if (!packet.syn && !routes_.wasRemoved(packet.flow.destination) && directory_.findByToken(packet.token) != kNoUpstream) {
+    if (!packet.syn && !wasOpenHere) {
         return {SteeringAction::Drop, SteeringReason::RouteUncertain, kNoUpstream};
     }
     return packet.rst ? SteeringDecision{SteeringAction::Drop, SteeringReason::NoRoute, kNoUpstream} : withoutRoute(now);
--- a/src/steering/route_table.cpp
+++ b/src/steering/route_table.cpp
@@ -16,7 +16,6 @@
     for (std::size_t row = 0; row < config_.routes.size(); ++row) {
         byAddress_[config_.routes[row].address] = row;
     }
-    trackRemovedRoutes();
     // A removed route may be added again with another service, which must not get the flows of the earlier route.
     boost::unordered::erase_if(allowed_, [this](const auto &entry) { return !byAddress_.contains(entry.first); });
     for (const auto &route : config_.routes) {
@@ -30,21 +29,6 @@
     return true;
 }
 
-// The set is bounded: when it overflows it is cleared, and flows of removed routes are dropped without a reset, as after a restart.
-void RouteTable::trackRemovedRoutes()
-{
-    constexpr std::size_t kMaxRemovedRoutes = 10'000;
-    if (removed_.size() > kMaxRemovedRoutes) {
-        removed_.clear();
-    }
-    for (const auto &[address, services] : allowed_) {
-        if (!byAddress_.contains(address)) {
-            removed_.insert(address);
-        }
-    }
-    boost::unordered::erase_if(removed_, [this](const Endpoint &address) { return byAddress_.contains(address); });
-}
-
 const FlowRoute *RouteTable::find(const Endpoint &address) const
 {
     const auto found = byAddress_.find(address);
--- a/src/steering/route_table.h
+++ b/src/steering/route_table.h
@@ -4,7 +4,6 @@
 #include "base/time.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
-#include <boost/unordered/unordered_flat_set.hpp>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -75,12 +74,6 @@
     /// changes its services.
     bool everAllowed(const Endpoint &address, const std::string &service) const;
 
-    /// Whether the address had a route that was removed; false if this host never received such a route.
-    bool wasRemoved(const Endpoint &address) const
-    {
-        return removed_.contains(address);
-    }
-
     /// The current version; 0 before the first configuration.
     std::uint64_t version() const
     {
@@ -93,12 +86,9 @@
     }
 
 private:
-    void trackRemovedRoutes();
-
     RouteConfig config_;
     boost::unordered_flat_map<Endpoint, std::size_t, std::hash<Endpoint>> byAddress_; ///< index into config_.routes
     boost::unordered_flat_map<Endpoint, std::vector<std::string>, std::hash<Endpoint>> allowed_; ///< services that each route has or had
-    boost::unordered_flat_set<Endpoint, std::hash<Endpoint>> removed_; ///< addresses of removed routes
 };
 
 } // namespace medlarway
--- a/tests/steering/flow_steering_test.cpp
+++ b/tests/steering/flow_steering_test.cpp
@@ -106,6 +106,38 @@
             }
         }
     }
+    // Guards against resets of flows that are open on a route which this host has not received yet, or not again.
+    SUBCASE("of an open flow is left unanswered on a host that lags behind the configuration")
+    {
+        const SteeringDecision unanswered{SteeringAction::Drop, SteeringReason::RouteUncertain, kNoUpstream};
+        SUBCASE("whose first request has no response")
+        {
+            Client ahead(40003, kUnrouted);
+            CHECK(steering.onPacket(ahead.acknowledge(Client::synAckToken(tokenOf("i-1"))), at(0s)) == unanswered);
+            CHECK(steering.onPacket(ahead.request(), at(0s)) == unanswered);
+            CHECK(steering.onPacket(ahead.request(), at(0s)) == unanswered);
+        }
+        SUBCASE("whose upstream this host does not know yet")
+        {
+            Client ahead(40003, kUnrouted);
+            ahead.acknowledge(tokenOf("i-9"));
+            CHECK(steering.onPacket(ahead.request(), at(0s)) == unanswered);
+        }
+        SUBCASE("on a route that was removed and has been added again")
+        {
+            steering.applyConfig(configOf(2, {routeTo(kGallery, "gallery")}));
+            client.acknowledge(tokenOf("i-1"));
+            CHECK(steering.onPacket(client.request(), at(0s)) == unanswered);
+            steering.applyConfig(configOf(4, {routeTo(kRegistry, "registry")}));
+            CHECK(steering.onPacket(client.retransmit(), at(200ms)).upstream == 0);
+        }
+        SUBCASE("whose SYN reached this host before the route was removed, and another one after it was added again")
+        {
+            steering.onPacket(client.syn(), at(0s));
+            steering.applyConfig(configOf(2, {routeTo(kGallery, "gallery")}));
+            CHECK(steering.onPacket(client.acknowledge(Client::synAckToken(tokenOf("i-9"))), at(210ms)) == unanswered);
+        }
+    }
     SUBCASE("of a flow whose route was removed is reset")
     {
         steering.onPacket(client.syn(), at(0s));
