steering: a token that several upstreams have identifies none of them

Cause: a token is 32 bits of a hash of the id and was taken for the id. Where a host knew two upstreams with the token, the first one in its list got the packets; where it knew one of them, that one did.

Change: the index of tokens has all ids that may be alive: listed, delisted for less than 75 s, parked, and those whose entry can't be read. A token that several of them have is left unanswered (shared-token) on hosts that do not have the flow. Each upstream has two tokens, the halves of the hash; a host writes the first one that no other id it knows has, so flows opened since both are known are found by every host, also by one that knows only one of the two. Without such a token it writes none. Hosts tell each other of former upstreams that share a token, with their age, when they introduce themselves.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -121,7 +121,7 @@
         if (syn == nullptr || upstream.presence != Presence::Listed || upstream.evacuated || !steering_.admitSyn(superseded.sentTo, now)) {
             continue;
         }
-        writeToken(*syn, steering_.directory().at(superseded.openedAt).token);
+        writeToken(*syn, steering_.directory().at(superseded.openedAt).flowToken);
         outgoing.push_back({upstream.entry.address, recipientPrefix(upstream.entry), kRecipientBytes, *syn});
         count(Counter::SynsSentAgain);
         logFlow(Event::SynSentAgain, steering_,
@@ -341,6 +341,8 @@
         data_.applyRecentEnds(ends, asOf, endpointOf(from));
         updateZoneView(monotonicNow());
     };
+    callbacks.formerUpstreams = [this] { return takeFormerUpstreams(steering_, monotonicNow()); };
+    callbacks.applyFormerUpstreams = [this](const auto &former, HostId from) { data_.applyFormerUpstreams(former, endpointOf(from)); };
     callbacks.readReasonChanged = [this](ReadReason reason) { onReadReason(reason); };
     callbacks.beforeUse = [this] { checkForPause(); };
     callbacks.demand.own = [this] { return steering_.ownDemand(monotonicNow()); };
--- a/src/entry/flow_log.cpp
+++ b/src/entry/flow_log.cpp
@@ -38,7 +38,7 @@
     const auto &upstream = entry.upstream == kNoUpstream ? kNoRecord : steering.directory().at(entry.upstream);
     const auto flow = endpointToString(entry.flow.client) + ">" + endpointToString(entry.flow.destination);
     logEvent(event, {field("flow", flow), field("reason", entry.reason), field("upstream", upstream.entry.id),
-                     field("zone", upstream.entry.zone.name), field("token", fmt::format("{:08x}", upstream.token)),
+                     field("zone", upstream.entry.zone.name), field("token", fmt::format("{:08x}", upstream.flowToken)),
                      field("running", upstream.running), field("expected", fmt::format("{:.2f}", upstream.expectedLoad)),
                      field("stalled", upstream.liveness.stalledFlows), field("version", steering.routes().version()),
                      field("entry-revision", revisionToString(upstream.entry.revision)),
--- a/src/entry/peer_feed.cpp
+++ b/src/entry/peer_feed.cpp
@@ -211,6 +211,9 @@
     const auto use = follower_.onReply(from, reply, monotonicNow());
     if (isExpected) {
         callbacks_.applyRecentEnds(reply.recentEnds, reply.asOf, from);
+        if (callbacks_.applyFormerUpstreams) {
+            callbacks_.applyFormerUpstreams(reply.former, from);
+        }
     }
     switch (use) {
     case ReplyUse::Ignore:
@@ -258,6 +261,7 @@
         reply.fleetHosts = static_cast<std::uint32_t>(follower_.hosts().count());
         reply.sender = HostIntroduction{follower_.options().zone, follower_.options().control};
         reply.recentEnds = callbacks_.recentEnds();
+        reply.former = callbacks_.formerUpstreams ? callbacks_.formerUpstreams() : std::vector<FormerUpstream>{};
     }
     // A host that is asked although others rank higher tells of these.
     if (held.request.sender || follower_.source() != self_) {
--- a/src/entry/peer_feed.h
+++ b/src/entry/peer_feed.h
@@ -40,6 +40,9 @@
     /// reply that this host waited for.
     std::function<std::vector<RecentEnd>()> recentEnds;
     std::function<void(const std::vector<RecentEnd> &ends, const Revision &asOf, HostId from)> applyRecentEnds;
+    /// The former upstreams for a reply, and those of another host's reply; may be unset.
+    std::function<std::vector<FormerUpstream>()> formerUpstreams;
+    std::function<void(const std::vector<FormerUpstream> &former, HostId from)> applyFormerUpstreams;
     std::function<void(ReadReason reason)> readReasonChanged;
     std::function<void()> beforeUse; ///< called before anything is received or answered, to detect a pause of the process
     DemandFeedCallbacks demand; ///< without them this host tells no demand of its own
--- a/src/entry/platform_data.cpp
+++ b/src/entry/platform_data.cpp
@@ -49,6 +49,23 @@
                                                              revisionToString(entry.revision), entry.service));
     }
     logContests();
+    logSharedTokens();
+}
+
+void PlatformData::logSharedTokens()
+{
+    const auto &directory = steering_.directory();
+    const auto shared = directory.tokens().sharedCount();
+    if (std::exchange(sharedTokensLogged_, shared) == shared) {
+        return;
+    }
+    for (const auto &upstream : directory.all()) {
+        if (!upstream.entry.id.empty() && directory.tokens().sharesTokens(upstream.entry.id)) {
+            logEvent(Event::TokenShared, {field("upstream", upstream.entry.id), field("token", fmt::format("{:08x}", upstream.token)),
+                                          field("flow-token", fmt::format("{:08x}", upstream.flowToken)), field("flows", upstream.flows),
+                                          field("listed", upstream.presence == Presence::Listed)});
+        }
+    }
 }
 
 void PlatformData::logContests()
@@ -153,6 +170,7 @@
     const auto evacuated = steering_.directory().evacuations().active();
     const bool changed = medlarway::applyDelta(steering_, delta, monotonicNow());
     logContests();
+    logSharedTokens();
     logEvacuations(evacuated, endpointToString(from));
     if (delta.full && delta.asOf > upTo_) {
         trackedFrom_ = delta.asOf;
@@ -194,6 +212,19 @@
     }
 }
 
+void PlatformData::applyFormerUpstreams(const std::vector<FormerUpstream> &former, const Endpoint &from)
+{
+    if (const auto fault = invalidFormer(former); !fault.empty()) {
+        reportError(ErrorKind::PeerMalformed, fmt::format("{} former upstreams from {}: {}", former.size(), endpointToString(from), fault));
+        return;
+    }
+    const auto now = monotonicNow();
+    for (const auto &upstream : former) {
+        steering_.directory().recordFormer(upstream.id, now - upstream.ago);
+    }
+    logSharedTokens();
+}
+
 SteeringDelta PlatformData::deltaFor(const KnownData &receiver) const
 {
     return takeDelta(steering_, receiver, upTo_, trackedFrom_, monotonicNow());
--- a/src/entry/platform_data.h
+++ b/src/entry/platform_data.h
@@ -46,6 +46,9 @@
     /// invalid list, and an end of a zone that this host should know but does not, is left out and logged.
     void applyRecentEnds(const std::vector<RecentEnd> &ends, const Revision &asOf, const Endpoint &from);
 
+    /// Applies the upstreams that another host knew and that are no longer listed. An invalid list is left out and logged.
+    void applyFormerUpstreams(const std::vector<FormerUpstream> &former, const Endpoint &from);
+
     /// The changes that another host lacks.
     SteeringDelta deltaFor(const KnownData &receiver) const;
 
@@ -68,6 +71,7 @@
 
 private:
     void logContests();
+    void logSharedTokens();
     EvacuationChange applyFromStore(const ZoneEvacuation &evacuation);
     void logEvacuations(const std::vector<ZoneEvacuation> &before, std::string_view source) const;
     void releaseNewFlows();
@@ -75,6 +79,7 @@
     FlowSteering &steering_;
     Age age_;
     std::size_t contestsLogged_ = 0;
+    std::size_t sharedTokensLogged_ = 0;
     bool upstreamsLoaded_ = false;
     Revision upTo_; ///< see upTo()
     Revision trackedFrom_; ///< revision from which on all removals are known
--- a/src/replication/message.h
+++ b/src/replication/message.h
@@ -61,6 +61,7 @@
     std::uint32_t fleetHosts = 0; ///< number of hosts that the sender knows in all zones; set if the request had its sender
     HostId askInstead; ///< host of the zone that supplies what the receiver lacks; then asOf is unknown. 0: none
     std::optional<PackedDelta> packed; ///< in place of delta
+    std::vector<FormerUpstream> former; ///< see takeFormerUpstreams(); empty unless the request had its sender, and on earlier releases
 
     friend bool operator==(const FeedReply &, const FeedReply &) = default;
 };
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -41,6 +41,7 @@
     }
     remove(entry.id, entry.revision, now);
     parked_[entry.id] = entry;
+    updateTokens(entry.id);
     return true;
 }
 
@@ -55,6 +56,7 @@
         return false;
     }
     parked_.erase(found);
+    updateTokens(id);
     return true;
 }
 
@@ -193,6 +195,9 @@
 {
     unpark(id, revision);
     const auto index = findById(id);
+    if (index == kNoUpstream) {
+        recordFormer(id, now); // other hosts may have known it
+    }
     if (index == kNoUpstream || upstreams_[index].presence != Presence::Listed || revision < upstreams_[index].entry.revision) {
         return false;
     }
@@ -208,7 +213,16 @@
         reregisterUntil_ = now + kReregisterTime;
     }
     const boost::unordered_flat_set<std::string_view> listed(ids.begin(), ids.end());
-    boost::unordered::erase_if(parked_, [&](const auto &item) { return item.second.revision <= revision && !listed.contains(item.first); });
+    std::vector<std::string> unparked;
+    for (const auto &[id, entry] : parked_) {
+        if (entry.revision <= revision && !listed.contains(id)) {
+            unparked.push_back(id);
+        }
+    }
+    for (const auto &id : unparked) {
+        parked_.erase(id);
+        updateTokens(id);
+    }
     std::size_t removed = 0;
     for (UpstreamIndex index = 0; index < upstreams_.size(); ++index) {
         auto &record = upstreams_[index];
@@ -257,14 +271,21 @@
         if (owner != byAddress_.end() && owner->second == index) {
             byAddress_.erase(owner);
         }
-        auto &sameToken = byToken_[record.token];
-        std::erase(sameToken, index);
-        if (sameToken.empty()) {
-            byToken_.erase(record.token);
-        }
         leaveZone(record);
+        const auto id = record.entry.id;
         record = UpstreamRecord{};
         free_.push_back(index);
+        updateTokens(id);
+    }
+    std::vector<std::string> expired;
+    for (const auto &[id, lastListedAt] : former_) {
+        if (now - lastListedAt >= kTombstoneDuration) {
+            expired.push_back(id);
+        }
+    }
+    for (const auto &id : expired) {
+        former_.erase(id);
+        updateTokens(id);
     }
 }
 
@@ -344,15 +365,44 @@
     }
 }
 
-UpstreamIndex UpstreamDirectory::findByToken(FlowToken token) const
+void UpstreamDirectory::recordFormer(std::string_view id, Time lastListedAt)
+{
+    if (findById(id) == kNoUpstream) {
+        auto &known = former_[std::string(id)];
+        known = std::max(known, lastListedAt);
+        updateTokens(id);
+    }
+}
+
+std::vector<FormerUpstream> UpstreamDirectory::formerWithSharedTokens(Time now) const
 {
-    const auto found = byToken_.find(token);
-    if (found == byToken_.end()) {
-        return kNoUpstream;
+    std::vector<FormerUpstream> found;
+    if (tokens_.sharedCount() == 0) {
+        return found;
+    }
+    for (const auto &record : upstreams_) {
+        if (!record.entry.id.empty() && record.presence != Presence::Listed && tokens_.sharesTokens(record.entry.id)) {
+            found.push_back({record.entry.id, now - record.changedAt});
+        }
+    }
+    for (const auto &[id, lastListedAt] : former_) {
+        if (tokens_.sharesTokens(id)) {
+            found.push_back({id, now - lastListedAt});
+        }
+    }
+    return found;
+}
+
+// Enters an id that is known in any way, and removes one that no longer is. Of upstreams that share a token, each uses another one for new
+// flows; packets with the shared one may be of either, also of one that other hosts do not know yet or no longer know.
+void UpstreamDirectory::updateTokens(std::string_view id)
+{
+    const std::string key(id);
+    const auto index = findById(id);
+    const bool isKnown = index != kNoUpstream || parked_.contains(key) || former_.contains(key);
+    for (const auto changed : isKnown ? tokens_.add(id, index) : tokens_.erase(id)) {
+        upstreams_[changed].flowToken = tokens_.uniqueTokenOf(upstreams_[changed].entry.id);
     }
-    const auto listed = std::find_if(found->second.begin(), found->second.end(),
-                                     [this](UpstreamIndex index) { return upstreams_[index].presence == Presence::Listed; });
-    return listed == found->second.end() ? found->second.front() : *listed;
 }
 
 UpstreamIndex UpstreamDirectory::findById(std::string_view id) const
@@ -382,7 +432,8 @@
     ++zones_[entry.zone.name];
     record.token = tokenOf(entry.id);
     byId_[entry.id] = index;
-    byToken_[record.token].push_back(index);
+    former_.erase(entry.id);
+    updateTokens(entry.id);
     return index;
 }
 
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -5,8 +5,8 @@
 #include "base/time.h"
 #include "steering/evacuations.h"
 #include "steering/flow_packet.h"
-#include "steering/flow_token.h"
 #include "steering/revision.h"
+#include "steering/token_index.h"
 #include "steering/warm_up.h"
 
 #include <algorithm>
@@ -61,7 +61,8 @@
 /// An upstream's entry and the state that this host keeps about it.
 struct UpstreamRecord {
     UpstreamEntry entry;
-    FlowToken token = 0;
+    FlowToken token = 0; ///< the first of its tokens, which other upstreams may have, too
+    FlowToken flowToken = 0; ///< the one in packets of its flows, which no other known id has; 0 if there is none
     Presence presence = Presence::Listed;
     Time changedAt; ///< when presence last changed
     Time warmUntil; ///< end of the warm-up after its start
@@ -92,9 +93,13 @@
     bool countsInPool = false; ///< it took flows at the last refresh, so its slots and its load are those of the pool
 };
 
-/// Index of an upstream in the directory; valid until expire() removes the upstream.
-using UpstreamIndex = std::uint32_t;
-inline constexpr UpstreamIndex kNoUpstream = 0xffffffff;
+/// An upstream that the platform does not list, but which may still run.
+struct FormerUpstream {
+    std::string id;
+    Duration ago{}; ///< time since it was listed, or since this or another host saw its id last
+
+    friend bool operator==(const FormerUpstream &, const FormerUpstream &) = default;
+};
 
 /// How long a delisted upstream can still be found by its token. Exceeds the longest time that clients keep a flow.
 inline constexpr Duration kTombstoneDuration = std::chrono::seconds{75};
@@ -178,8 +183,24 @@
     /// Sets the expected load of every upstream to 0 before it is recomputed.
     void clearExpectedLoad();
 
-    /// The upstream with this token, preferably a listed one if several share it; kNoUpstream if there is none.
-    UpstreamIndex findByToken(FlowToken token) const;
+    /// The upstream that alone has this token among its tokens; kNoUpstream if there is none, or if another id is known that has it: the
+    /// upstreams that are listed, those that were within kTombstoneDuration, and those whose entries can't be used.
+    UpstreamIndex findByToken(FlowToken token) const
+    {
+        return tokens_.find(token);
+    }
+
+    const TokenIndex &tokens() const
+    {
+        return tokens_;
+    }
+
+    /// Records the id of an upstream that is not listed but may still run, for kTombstoneDuration from a time on.
+    void recordFormer(std::string_view id, Time lastListedAt);
+
+    /// The upstreams that are not listed and share a token with another id: a host that started after they were delisted does not know
+    /// them.
+    std::vector<FormerUpstream> formerWithSharedTokens(Time now) const;
 
     /// The upstream with this id; kNoUpstream if there is none.
     UpstreamIndex findById(std::string_view id) const;
@@ -225,6 +246,7 @@
     bool unpark(std::string_view id, const Revision &revision);
     void removeUnregistered(Time now);
     UpstreamIndex add(const UpstreamEntry &entry);
+    void updateTokens(std::string_view id);
     void delist(UpstreamIndex index, Presence presence, Time now);
     void claimAddress(UpstreamIndex index, Time now);
     void contest(UpstreamIndex earlier, UpstreamIndex later, Time now);
@@ -250,7 +272,8 @@
     std::optional<Time> reregisterUntil_; ///< when the entries of earlier eras count as removed
     boost::unordered_flat_map<std::string, UpstreamIndex> byId_;
     boost::unordered_flat_map<Endpoint, UpstreamIndex, std::hash<Endpoint>> byAddress_;
-    boost::unordered_flat_map<FlowToken, std::vector<UpstreamIndex>> byToken_;
+    boost::unordered_flat_map<std::string, Time> former_; ///< see recordFormer(); without those that have a record
+    TokenIndex tokens_; ///< of all records, parked entries and former upstreams
     boost::unordered_flat_map<std::string, std::vector<UpstreamIndex>> byService_;
 };
 
--- a/src/steering/flow_handshake.cpp
+++ b/src/steering/flow_handshake.cpp
@@ -111,7 +111,7 @@
 // flow may then be open anywhere.
 bool FlowSteering::rebindByToken(SteeredFlow &flow, const FlowPacket &packet)
 {
-    if (packet.token == directory_.at(flow.upstream).token) {
+    if (packet.token != 0 && packet.token == directory_.at(flow.upstream).flowToken) {
         return true;
     }
     // Packets may overtake the first one. One further on than a client sends without a response comes from a flow that went on elsewhere.
@@ -157,10 +157,10 @@
 // A late copy of the SYN of an open flow must not bring back the opening token.
 FlowToken FlowSteering::tokenFor(const FlowPacket &packet, UpstreamIndex upstream) const
 {
-    const auto token = directory_.at(upstream).token;
+    const auto token = directory_.at(upstream).flowToken;
     const auto *flow = packet.syn ? findFlow(packet.flow) : nullptr;
     const bool isOpening = packet.syn && (flow == nullptr || flow->synSent);
-    return isOpening ? openingToken(token, packet.sequence + 1) : token;
+    return isOpening && token != 0 ? openingToken(token, packet.sequence + 1) : token;
 }
 
 std::vector<SupersededSyn> FlowSteering::takeSupersededSyns()
--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -14,7 +14,7 @@
 // Indexed by SteeringReason.
 constexpr std::array<std::string_view, static_cast<std::size_t>(SteeringReason::Count)> kReasonNames{
     "opened",         "opened-again",       "opened-like",      "carried",  "found-by-token",    "not-ready",     "no-route",
-    "route-unsure",   "no-upstream",        "upstreams-unsure", "no-token", "unknown-token",     "foreign-token", "route-changed",
+    "route-unsure",   "no-upstream",        "upstreams-unsure", "no-token", "unknown-token",  "shared-token",   "foreign-token", "route-changed",
     "upstream-ended", "upstream-evacuated", "warming-up",       "waiting",  "opened-after-wait", "no-room",
 };
 
@@ -168,6 +168,9 @@
     if (packet.token == 0) {
         return {SteeringAction::Drop, SteeringReason::NoToken, kNoUpstream};
     }
+    if (directory_.tokens().isShared(packet.token)) {
+        return {SteeringAction::Drop, SteeringReason::SharedToken, kNoUpstream};
+    }
     const auto upstream = findByToken(packet.token, packet.sequence);
     if (upstream == kNoUpstream) {
         return {SteeringAction::Drop, SteeringReason::UnknownToken, kNoUpstream};
--- a/src/steering/flow_steering.h
+++ b/src/steering/flow_steering.h
@@ -46,6 +46,7 @@
     UpstreamsUncertain, ///< as NoUpstream, but this host's list of upstreams may be out of date
     NoToken, ///< a packet without a token on an unknown flow
     UnknownToken, ///< no known upstream has the token
+    SharedToken, ///< several upstreams have the token, so that it does not tell whose flow it is
     ForeignToken, ///< the token's upstream belongs to a service that the route never had
     RouteChanged, ///< the flow's route was removed, and another route now has its address
     UpstreamDown, ///< the flow's upstream has terminated or is unreachable
--- a/src/steering/flow_token.cpp
+++ b/src/steering/flow_token.cpp
@@ -1,13 +1,16 @@
 #include "steering/flow_token.h"
 
+#include <algorithm>
+
 namespace medlarway
 {
 
-// Derived from the id alone, so that all hosts compute the same token without coordination.
-FlowToken tokenOf(std::string_view id)
+// Derived from the id alone, so that all hosts compute the same tokens without coordination.
+std::array<FlowToken, kTokensPerUpstream> tokensOf(std::string_view id)
 {
-    const auto token = static_cast<FlowToken>(hashBytes(id));
-    return token == 0 ? 1 : token;
+    const auto hash = hashBytes(id);
+    const auto nonZero = [](std::uint64_t bits) { return std::max(static_cast<FlowToken>(bits), FlowToken{1}); };
+    return {nonZero(hash), nonZero(hash >> 32U)};
 }
 
 // Several upstreams may respond to copies of one SYN. Those that do not get the flow repeat their SYN-ACK for seconds, and the client sends
--- a/src/steering/snapshot.cpp
+++ b/src/steering/snapshot.cpp
@@ -98,6 +98,28 @@
     return ends;
 }
 
+std::vector<FormerUpstream> takeFormerUpstreams(const FlowSteering &steering, Time now)
+{
+    auto former = steering.directory().formerWithSharedTokens(now);
+    std::sort(former.begin(), former.end(), [](const auto &a, const auto &b) { return a.ago < b.ago; });
+    std::erase_if(former, [](const FormerUpstream &upstream) { return !invalidFormer(std::span(&upstream, 1)).empty(); });
+    former.resize(std::min(former.size(), kMaxFormerInList));
+    return former;
+}
+
+std::string_view invalidFormer(std::span<const FormerUpstream> former)
+{
+    for (const auto &upstream : former) {
+        if (upstream.id.empty() || upstream.id.size() > kMaxFormerIdBytes) {
+            return "an id is empty or too long";
+        }
+        if (upstream.ago < Duration{} || upstream.ago > kTombstoneDuration) {
+            return "an age is negative or too high";
+        }
+    }
+    return former.size() > kMaxFormerInList ? "too long" : "";
+}
+
 // Versions and revisions are compared per entry, so that older data can't undo a later change. The remaining warm-up time is that of the
 // entry's revision and may be a few seconds too long, which is harmless.
 bool applyDelta(FlowSteering &steering, const SteeringDelta &delta, Time now)
--- a/src/steering/snapshot.h
+++ b/src/steering/snapshot.h
@@ -74,6 +74,16 @@
 /// The ends of evacuations that another host may have missed, however recent its data is: the latest ones of zones with upstreams.
 std::vector<RecentEnd> takeRecentEnds(const FlowSteering &steering, Time now);
 
+/// Limits of a list of former upstreams, which is part of a datagram.
+inline constexpr std::size_t kMaxFormerInList = 8;
+inline constexpr std::size_t kMaxFormerIdBytes = 200;
+
+/// The upstreams that are no longer listed and share a token with another one: those that were listed last, within the limits.
+std::vector<FormerUpstream> takeFormerUpstreams(const FlowSteering &steering, Time now);
+
+/// What is invalid about such a list from another host; empty if nothing is.
+std::string_view invalidFormer(std::span<const FormerUpstream> former);
+
 /// Applies everything in the delta that is newer than this host's data; nothing is reverted. True if something changed.
 bool applyDelta(FlowSteering &steering, const SteeringDelta &delta, Time now);
 
--- a/src/steering/upstream_speed.cpp
+++ b/src/steering/upstream_speed.cpp
@@ -404,7 +404,9 @@
     std::vector<SpeedSum> sums;
     for (UpstreamIndex index = 0; index < observed_.size(); ++index) {
         auto &observed = observed_[index];
-        if (observed.unreported.samples > 0 && index < directory.all().size() && directory.at(index).token == observed.token) {
+        // Sums of an upstream that shares its token would be taken for those of another one.
+        const bool isCurrent = index < directory.all().size() && directory.at(index).token == observed.token;
+        if (observed.unreported.samples > 0 && isCurrent && directory.findByToken(observed.token) == index) {
             observed.unreported.upstream = observed.token;
             sums.push_back(observed.unreported);
         }
--- a/tests/replication/message_test.cpp
+++ b/tests/replication/message_test.cpp
@@ -93,7 +93,7 @@
 
 TEST_CASE("the ends of evacuations in a reply")
 {
-    constexpr std::size_t kFieldsFromEnds = 4; // the last fields of a reply, which earlier releases do not send
+    constexpr std::size_t kFieldsFromEnds = 5; // the last fields of a reply, which earlier releases do not send
     FeedReply reply;
     reply.asOf = {1, 47};
     const auto without = toCborValue(reply);
