platform: data counts as confirmed as of the call, not of the arrival of its response

Cause: a response with changes may be sent as soon as its call has arrived and then be on its way for up to the wait and the time-out. The host took its arrival for the time of the store's confirmation and told its followers so; the intervals of readers and followers fill the bound.

Evidence: the new test delays a response by 60 ms: data was told as confirmed after a change that it lacked.

Change: a response with changes confirms the data as of its call; one without, which the store sends when the wait is over, as of then, unless the store was seen to answer early. The clock that counts suspensions decides. The watch after a response with changes is shorter by what that one may be late, so that ages stay within the limit. What is missing counts as missing on the platform for the stricter bound (before: 3.7 s whatever the bounds), as a route may be added within that time.

--- a/src/entry/pause_detector.cpp
+++ b/src/base/time.cpp
@@ -1,11 +1,10 @@
-#include "entry/pause_detector.h"
+#include "base/time.h"
 
 #include <ctime>
 
 namespace medlarway
 {
 
-// std::chrono::steady_clock does not advance while the machine is suspended.
 Duration timeSinceBoot()
 {
     timespec time{};
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -18,6 +18,9 @@
     return std::chrono::steady_clock::now();
 }
 
+/// Time since the machine booted. Unlike the monotonic clock it counts the time in which the machine was suspended.
+Duration timeSinceBoot();
+
 /// A span as timers of the monotonic clock take it.
 inline std::chrono::steady_clock::duration toSteady(Duration span)
 {
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -34,10 +34,6 @@
 // Part of the grace period reserved for the exit itself, as the process may get little CPU time.
 constexpr std::chrono::milliseconds kGraceMargin{1000};
 
-// How long after the store's last response the configuration counts as up to date, so that a missing route means a reset: the longest
-// time that a watch request stays pending before it times out.
-constexpr Duration kFreshness = WatchPace{}.wait + StoreTimeouts{}.responseTimeout;
-
 } // namespace
 
 EntryHost::EntryHost(boost::asio::io_context &context, std::string settingsFile, const EntrySettings &settings)
@@ -247,7 +243,7 @@
 void EntryHost::updateFreshness()
 {
     const auto confirmedAt = peerFeed_.follower().confirmedAt();
-    steering_.setFreshUntil(confirmedAt == Time{} ? Time{} : confirmedAt + kFreshness);
+    steering_.setFreshUntil(confirmedAt == Time{} ? Time{} : confirmedAt + timing_.freshness);
     heldSyns_.setConfirmedAt(confirmedAt);
 }
 
@@ -323,7 +319,7 @@
     };
     sink.confirmed = [this] {
         data_.confirmUpTo(feed_.asOf());
-        peerFeed_.onPlatformConfirmed(feed_.lastResponseAt());
+        peerFeed_.onPlatformConfirmed(feed_.confirmedAt());
     };
     sink.failed = [this] { peerFeed_.onPlatformFailed(); };
     return sink;
--- a/src/entry/pause_detector.h
+++ b/src/entry/pause_detector.h
@@ -59,7 +59,4 @@
     Time until_;
 };
 
-/// Time since the machine booted, including the time in which it was suspended.
-Duration timeSinceBoot();
-
 } // namespace medlarway
--- a/src/platform/store_feed.cpp
+++ b/src/platform/store_feed.cpp
@@ -125,6 +125,7 @@
 asio::awaitable<bool> StoreFeed::runNextStep()
 {
     callStartedAt_ = monotonicNow();
+    callStartedSinceBoot_ = timeSinceBoot();
     early_ = false;
     if (isKnown(asOf_)) {
         co_return co_await watch();
@@ -196,7 +197,7 @@
     }
     sink_.complete(fullRead_.ids, fullRead_.evacuations, fullRead_.asOf);
     asOf_ = std::exchange(fullRead_, {}).asOf;
-    co_return applyChanges(result);
+    co_return applyChanges(result, kMinWait);
 }
 
 void StoreFeed::restartFullRead()
@@ -220,11 +221,18 @@
 // Changes that exceed the limit of a response will not become fewer: the current data is read instead, whose pages are smaller.
 //
 // After a failure the store is asked for an immediate response: while it may hold the call, a lost call can't be told from one without
-// news.
+// news. A response with changes confirms the data as of its call only, so the next one must not take as long.
+Duration StoreFeed::nextWait(Time now) const
+{
+    const auto confirmBy = confirmedAt_ + options_.pace.pauseAfterChanges + options_.pace.wait;
+    const auto wait = std::clamp(confirmBy - now, kMinWait, std::max(kMinWait, options_.pace.wait));
+    return failures_ > 0 ? kMinWait : Duration{std::chrono::duration_cast<std::chrono::milliseconds>(wait)};
+}
+
 asio::awaitable<bool> StoreFeed::watch()
 {
-    const bool atOnce = std::exchange(confirmNext_, false) || failures_ > 0;
-    const auto wait = atOnce ? kMinWait : options_.pace.wait;
+    const bool atOnce = std::exchange(confirmNext_, false);
+    const auto wait = atOnce ? kMinWait : nextWait(callStartedAt_);
     const auto after = asOf_;
     const auto result = co_await client_.watch("", after.number, wait, responseTimeoutAfter(failures_, options_.timeouts));
     recordEra(result);
@@ -240,19 +248,30 @@
         restartFullRead();
         co_return true;
     }
-    early_ = !atOnce && result.response && result.response->items.empty() && monotonicNow() - callStartedAt_ < wait / 2;
-    co_return result.response ? applyChanges(result) : recordFailure("watch", result.status);
+    early_ = wait > kMinWait && result.response && result.response->items.empty() && monotonicNow() - callStartedAt_ < wait / 2;
+    eager_ = eager_ || early_;
+    co_return result.response ? applyChanges(result, wait) : recordFailure("watch", result.status);
 }
 
-bool StoreFeed::applyChanges(const StoreResult &result)
+bool StoreFeed::applyChanges(const StoreResult &result, Duration wait)
 {
+    const auto confirmedAt = provenTime(result, wait);
     for (const auto &item : result.response->items) {
         offer(item, result.era);
     }
-    recordSuccess(std::max(asOf_, Revision{result.era, result.response->asOf}), !result.response->items.empty());
+    recordSuccess(std::max(asOf_, Revision{result.era, result.response->asOf}), !result.response->items.empty(), confirmedAt);
     return true;
 }
 
+// A response may have been held up on its way, so its arrival proves nothing. The store formed it after the call; one without changes at
+// the end of the wait, unless the store does not hold watches.
+Time StoreFeed::provenTime(const StoreResult &result, Duration wait) const
+{
+    const auto elapsed = timeSinceBoot() - callStartedSinceBoot_;
+    const bool wasHeld = result.response->items.empty() && !eager_ && elapsed >= wait;
+    return monotonicNow() - (wasHeld ? elapsed - wait : elapsed);
+}
+
 // An item that can't be applied is offered again with all others of its response. If it fails again, it is left out, so that the others and
 // later changes are applied.
 void StoreFeed::offer(const StoreItem &item, std::uint64_t era)
@@ -335,7 +354,7 @@
                                                           revisionToString(after), kMaxBodyBytes));
 }
 
-void StoreFeed::recordSuccess(const Revision &asOf, bool changed)
+void StoreFeed::recordSuccess(const Revision &asOf, bool changed, Time confirmedAt)
 {
     const auto now = monotonicNow();
     if (failures_ > 0) {
@@ -346,6 +365,7 @@
     asOf_ = asOf;
     changed_ = changed;
     lastResponseAt_ = now;
+    confirmedAt_ = std::max(confirmedAt_, confirmedAt);
     failures_ = 0;
     restarts_ = 0;
     repeating_ = false;
--- a/src/platform/store_feed.h
+++ b/src/platform/store_feed.h
@@ -40,7 +40,7 @@
     /// A full read has completed; ids are those of all upstreams, and evacuations all that are active.
     std::function<void(const std::vector<std::string> &ids, const std::vector<ZoneEvacuation> &evacuations, const Revision &revision)>
         complete;
-    std::function<void()> confirmed; ///< the store reported all changes up to asOf()
+    std::function<void()> confirmed; ///< the store reported all changes up to asOf() that it had at confirmedAt()
     std::function<void()> failed; ///< a call failed
 };
 
@@ -71,12 +71,19 @@
     /// Closes the connection and stops reading.
     void stop();
 
-    /// When the store last reported its changes, at which time the data was up to date; Time{} before the first response.
+    /// When a response with the store's changes last arrived; Time{} before the first one.
     Time lastResponseAt() const
     {
         return lastResponseAt_;
     }
 
+    /// The latest time at which the data is known to have been up to date: that of the call, or of the end of its wait, as the response
+    /// may have been on its way for long. Time{} before the first response.
+    Time confirmedAt() const
+    {
+        return confirmedAt_;
+    }
+
     /// Whether the last call succeeded; false until the first full read or watch has completed.
     bool reachable() const
     {
@@ -109,13 +116,15 @@
     boost::asio::awaitable<bool> catchUp();
     boost::asio::awaitable<bool> watch();
     void restartFullRead();
-    bool applyChanges(const StoreResult &result);
+    Duration nextWait(Time now) const;
+    bool applyChanges(const StoreResult &result, Duration wait);
+    Time provenTime(const StoreResult &result, Duration wait) const;
     void offer(const StoreItem &item, std::uint64_t era);
     void apply(const StoreItem &item, std::uint64_t era);
     void applyEvacuation(const StoreItem &item, const Revision &revision);
     void recordEra(const StoreResult &result);
     static void reportTooLarge(const Revision &after);
-    void recordSuccess(const Revision &asOf, bool changed);
+    void recordSuccess(const Revision &asOf, bool changed, Time confirmedAt);
     bool recordFailure(std::string_view call, unsigned status);
 
     boost::asio::io_context &context_;
@@ -133,8 +142,11 @@
     bool restarted_ = false; ///< the last step led to one
     bool changed_ = false; ///< the last response contained changes
     bool early_ = false; ///< the last watch ended long before its time, without changes
+    bool eager_ = false; ///< this happened before: the store may hold no watches
     Time callStartedAt_;
-    Time lastResponseAt_;
+    Duration callStartedSinceBoot_{}; ///< the same on the clock that counts suspensions
+    Time lastResponseAt_; ///< see lastResponseAt()
+    Time confirmedAt_; ///< see confirmedAt()
     bool running_ = false;
     bool repeating_ = false; ///< an item of this response could not be applied before
     bool reading_ = true; ///< see setReading()
--- a/src/replication/follower.h
+++ b/src/replication/follower.h
@@ -84,7 +84,7 @@
     /// Records the end of a fetch that onReply() demanded; confirmedAgo is that of the page, nullopt if there was none or the fetch failed.
     void onFetched(HostId from, bool succeeded, std::optional<Duration> confirmedAgo, Time startedAt);
 
-    /// Records that the platform confirmed this host's data, or failed to respond to it.
+    /// Records that the platform confirmed this host's data as of a time, or failed to respond to it.
     void onPlatformConfirmed(Time at);
     void onPlatformFailed(Time now);
 
--- a/src/replication/timing.cpp
+++ b/src/replication/timing.cpp
@@ -38,6 +38,7 @@
     timing.maxResponseTimeout = std::min(bound / 2, kMaxResponseTimeout);
     timing.maxBackoff = std::min(bound / 6, kMaxBackoff);
     timing.requestHold = timing.watchWait + kDeliveryMargin;
+    timing.freshness = std::min(bound, kMaxWatchWait + kMaxFirstTimeout);
     timing.pause = timing.maxAge / 3;
     timing.urgentPause = timing.pause / 4;
     return timing;
--- a/src/replication/timing.h
+++ b/src/replication/timing.h
@@ -24,6 +24,7 @@
     Duration maxResponseTimeout; ///< the same after calls that failed, as the platform may be slow
     Duration maxBackoff; ///< longest delay after a call that failed
     Duration requestHold; ///< how long a reader may hold a follower's request
+    Duration freshness; ///< how long after a confirmation what the data lacks counts as missing on the platform, too
     Duration pause; ///< from a response with changes to the next watch, so that a burst of changes takes few calls
     Duration urgentPause; ///< the same while a change is needed by callers
 
--- a/tests/platform/store_feed_test.cpp
+++ b/tests/platform/store_feed_test.cpp
@@ -235,6 +235,43 @@
         }
         CHECK(reader.completeReads == 1);
     }
+    // Guards against hosts that pass on data as just confirmed which was on its way for long, so that their followers rely on it too long.
+    SUBCASE("counts its data as confirmed as of the call whose response has changes")
+    {
+        reader.feed.setPace({1ms, 100ms});
+        REQUIRE(runUntil(context, [&] { return reader.feed.confirmedAt() != Time{} && store.heldWatches() == 1; }));
+        store.setDelay(60ms);
+        store.put("servers/i-2", entry());
+        REQUIRE(runUntil(context, [&] { return store.heldWatches() == 0; })); // the response is on its way
+        const auto changedAt = monotonicNow();
+        store.put("servers/i-1", entry("draining"));
+        REQUIRE(runUntil(context, [&] { return reader.upstreams.contains("i-2"); }));
+        REQUIRE_FALSE(reader.upstreams.at("i-1").draining);
+        CHECK(monotonicNow() - changedAt >= 50ms);
+        CHECK(reader.feed.confirmedAt() < changedAt);
+        CHECK(reader.feed.lastResponseAt() > changedAt);
+        store.setDelay(0ms);
+        CHECK(runUntil(context, [&] { return reader.upstreams.at("i-1").draining && reader.feed.confirmedAt() > changedAt; }));
+    }
+    SUBCASE("counts its data as confirmed as of the end of the wait if nothing changed")
+    {
+        const auto before = monotonicNow();
+        store.setDelay(60ms);
+        REQUIRE(runUntil(context, [&] { return reader.feed.lastResponseAt() > before + 250ms; }));
+        CHECK(reader.feed.confirmedAt() > before);
+        CHECK(reader.feed.lastResponseAt() - reader.feed.confirmedAt() >= 55ms);
+        SUBCASE("but as of the call if the store does not hold watches")
+        {
+            store.setDelay(0ms);
+            store.setFault(StoreFault::EagerWatches);
+            const auto calls = store.calls();
+            REQUIRE(runUntil(context, [&] { return store.calls() > calls + 2; }));
+            store.setDelay(150ms);
+            const auto delayedAt = monotonicNow();
+            REQUIRE(runUntil(context, [&] { return reader.feed.lastResponseAt() > delayedAt + 200ms; }));
+            CHECK(reader.feed.lastResponseAt() - reader.feed.confirmedAt() >= 145ms);
+        }
+    }
     SUBCASE("makes few calls while nothing changes")
     {
         const auto before = store.calls();
