steering: an opening token counts only in the client's first packets

Cause: an opening token shows that an upstream got a copy of the SYN. Hosts took it for the client's acceptance: the host of an earlier copy as long as it remembered the SYN, and any host in packets with the sequence number of the first. An upstream that did not get the flow repeats its SYN-ACK for seconds, and its token is then the client's last one.

Evidence: two hosts have a line 510 of the flow, 200 ms apart and with different upstreams. The one that does not hold it reset the client 1.6 s later without a further line of any host, so the packet met a record of the SYN.

Change: without a record of the flow only the token of an open flow counts, which was written by a host that knew. With a record of the SYN an opening token counts while the packet must be one of those that the client sends at once when it accepts a SYN-ACK: for less than 200 ms since the latest copy, or since the next copy is due if all so far went through this host to one upstream. Time on the host before counts, so kept and held SYNs carry their arrival. Flows that are being opened have room beside a full table, as their packets can't be found by token.

--- a/src/entry/early_packets.cpp
+++ b/src/entry/early_packets.cpp
@@ -53,7 +53,12 @@
         return;
     }
     count(Counter::EarlyPacketsKept);
-    packets_.push_back({packet, {datagram.begin(), datagram.end()}, now, now + earlyPacketLifetime(packet)});
+    if (packet.syn) {
+        const auto [known, isFirst] = syns_.try_emplace(packet.flow, firstArrival(packet, now));
+        known->second = isFirst ? known->second : addArrival(known->second, packet, now);
+    }
+    const auto arrivedAt = now - packet.waited;
+    packets_.push_back({packet, {datagram.begin(), datagram.end()}, arrivedAt, arrivedAt + earlyPacketLifetime(packet)});
     startTimer();
 }
 
@@ -66,20 +71,26 @@
         }
     }
     std::erase_if(packets_, [now](const Kept &kept) { return now >= kept.expiresAt; });
+    boost::unordered::erase_if(syns_, [now](const auto &item) { return now - item.second.latest >= kSynIntervals.back(); });
     if (!packets_.empty() && callbacks_.usable()) {
-        processAll();
+        processAll(now);
     }
 }
 
-void EarlyPackets::processAll()
+void EarlyPackets::processAll(Time now)
 {
     auto packets = std::exchange(packets_, {}); // processing may keep some of them again
     std::vector<std::span<std::uint8_t>> datagrams;
+    std::vector<Arrival> arrivals;
     datagrams.reserve(packets.size());
+    arrivals.reserve(packets.size());
     for (auto &kept : packets) {
+        const auto syn = kept.packet.syn ? syns_.find(kept.packet.flow) : syns_.end();
         datagrams.emplace_back(kept.datagram);
+        arrivals.push_back({now - kept.since, syn != syns_.end() && syn->second.complete});
     }
-    callbacks_.process(datagrams);
+    syns_.clear();
+    callbacks_.process(datagrams, arrivals);
 }
 
 void EarlyPackets::drop(Time now)
--- a/src/entry/early_packets.h
+++ b/src/entry/early_packets.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "base/time.h"
-#include "steering/flow_packet.h"
+#include "steering/syn_arrivals.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/unordered/unordered_flat_map.hpp>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -24,10 +25,17 @@
 class EarlyPackets
 {
 public:
+    /// What the datagram of a kept packet does not tell.
+    struct Arrival {
+        Duration waited{}; ///< how long it has been kept
+        bool allSynsHere = false; ///< see FlowPacket::allSynsHere
+    };
+
     struct Callbacks {
         std::function<void()> beforeUse; ///< called before time is used for decisions, to notice a pause of the process
         std::function<bool()> usable; ///< whether packets can be decided on now
-        std::function<void(std::span<std::span<std::uint8_t>> datagrams)> process; ///< decides on packets, in order of arrival
+        /// Decides on packets, in order of arrival.
+        std::function<void(std::span<std::span<std::uint8_t>> datagrams, std::span<const Arrival> arrivals)> process;
         std::function<void(const FlowPacket &packet, Duration waited)> expired; ///< tells of a packet that was dropped
     };
 
@@ -59,12 +67,13 @@
     };
 
     void startTimer();
-    void processAll();
+    void processAll(Time now);
 
     Callbacks callbacks_;
     boost::asio::steady_timer timer_;
     bool timerRuns_ = false;
     std::deque<Kept> packets_; ///< in order of arrival
+    boost::unordered_flat_map<FlowId, SynArrivals, FlowIdHash> syns_; ///< the copies of SYNs that were kept, also of those dropped since
 };
 
 } // namespace medlarway
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -83,20 +83,22 @@
 void EntryHost::onBatch(std::span<std::span<std::uint8_t>> datagrams, std::vector<OutgoingPacket> &outgoing)
 {
     checkForPause();
-    processPackets(datagrams, outgoing);
+    processPackets(datagrams, {}, outgoing);
     stalePackets_ = stalePackets_ && datagrams.size() == PacketSocket::kBatchSize;
     handleLivenessEvents();
 }
 
-void EntryHost::processPackets(std::span<std::span<std::uint8_t>> datagrams, std::vector<OutgoingPacket> &outgoing)
+// arrivals: of datagrams that were kept; empty if they have just arrived.
+void EntryHost::processPackets(std::span<std::span<std::uint8_t>> datagrams, std::span<const EarlyPackets::Arrival> arrivals,
+                               std::vector<OutgoingPacket> &outgoing)
 {
     const auto now = monotonicNow();
     lastPacketAt_ = now;
     updateFreshness();
     resets_.clear();
     resets_.reserve(datagrams.size());
-    for (const auto datagram : datagrams) {
-        onDatagram(datagram, outgoing, now);
+    for (std::size_t row = 0; row < datagrams.size(); ++row) {
+        onDatagram(datagrams[row], arrivals.empty() ? EarlyPackets::Arrival{} : arrivals[row], outgoing, now);
     }
     if (steering_.hasHeldDecisions()) {
         heldSyns_.release(outgoing, now);
@@ -143,13 +145,16 @@
     feed_.reconnect();
 }
 
-void EntryHost::onDatagram(std::span<std::uint8_t> datagram, std::vector<OutgoingPacket> &outgoing, Time now)
+void EntryHost::onDatagram(std::span<std::uint8_t> datagram, const EarlyPackets::Arrival &arrival, std::vector<OutgoingPacket> &outgoing,
+                           Time now)
 {
-    const auto packet = decodePacket(datagram);
+    auto packet = decodePacket(datagram);
     if (!packet) {
         reportError(ErrorKind::DatagramTooLarge, fmt::format("malformed client packet, {} bytes", datagram.size()));
         return;
     }
+    packet->waited = arrival.waited;
+    packet->allSynsHere = arrival.allSynsHere;
     // The client has retransmitted its SYN through another host by now. If this SYN reached another upstream, its response would carry
     // that upstream's token and divert the open flow.
     if (packet->syn && stalePackets_) {
@@ -190,9 +195,9 @@
     EarlyPackets::Callbacks callbacks;
     callbacks.beforeUse = [this] { checkForPause(); };
     callbacks.usable = [this] { return mayOpenFlows(monotonicNow()); };
-    callbacks.process = [this](auto datagrams) {
+    callbacks.process = [this](auto datagrams, auto arrivals) {
         std::vector<OutgoingPacket> outgoing;
-        processPackets(datagrams, outgoing);
+        processPackets(datagrams, arrivals, outgoing);
         packets_.send(outgoing);
     };
     callbacks.expired = [this](const FlowPacket &packet, Duration waited) {
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -40,8 +40,10 @@
 
 private:
     void onBatch(std::span<std::span<std::uint8_t>> datagrams, std::vector<OutgoingPacket> &outgoing);
-    void processPackets(std::span<std::span<std::uint8_t>> datagrams, std::vector<OutgoingPacket> &outgoing);
-    void onDatagram(std::span<std::uint8_t> datagram, std::vector<OutgoingPacket> &outgoing, Time now);
+    void processPackets(std::span<std::span<std::uint8_t>> datagrams, std::span<const EarlyPackets::Arrival> arrivals,
+                        std::vector<OutgoingPacket> &outgoing);
+    void onDatagram(std::span<std::uint8_t> datagram, const EarlyPackets::Arrival &arrival, std::vector<OutgoingPacket> &outgoing,
+                    Time now);
     void sendSynsAgain(std::vector<OutgoingPacket> &outgoing, Time now);
     boost::asio::awaitable<void> runTicks();
     void onTick();
--- a/src/steering/flow_handshake.cpp
+++ b/src/steering/flow_handshake.cpp
@@ -23,7 +23,7 @@
     const auto known = flows_.find(packet.flow);
     if (known != flows_.end()) {
         if (known->second.firstSequence == packet.sequence && routeAllows(packet.flow.destination, known->second.upstream)) {
-            return onRepeatedSyn(route, known->second, now);
+            return onRepeatedSyn(packet, route, known->second, now);
         }
         removeFlow(packet.flow);
     }
@@ -31,15 +31,17 @@
     const auto usage = usages_.indexOf(packet.flow.destination);
     discardDecisions(packet.flow);
     const auto request = requestFor(route, usages_.busyShare(usage), kNoUpstream);
+    const HeldSyn arrived{0, packet.sequence, firstArrival(packet, now)};
     if (!isLimited(usage, now)) {
         cancelWait(packet.flow, now); // it was limited when its first SYN came
         const auto upstream = place(request, now);
         return upstream == kNoUpstream ? withoutUpstream(request, now)
-                                       : openFlow(packet.flow, packet.sequence, upstream, SteeringReason::Opened, now);
+                                       : openFlow(packet.flow, arrived, upstream, SteeringReason::Opened, now);
     }
     const auto held = held_.find(packet.flow);
     if (held != held_.end()) {
         if (held->second.sequence == packet.sequence) {
+            held->second.arrivals = addArrival(held->second.arrivals, packet, now);
             return {SteeringAction::Hold, SteeringReason::Waiting, kNoUpstream};
         }
         cancelWait(packet.flow, now);
@@ -50,15 +52,18 @@
         return holdSyn(packet, route, usage, now);
     }
     return *upstream == kNoUpstream ? withoutUpstream(request, now)
-                                    : openFlow(packet.flow, packet.sequence, *upstream, SteeringReason::Opened, now);
+                                    : openFlow(packet.flow, arrived, *upstream, SteeringReason::Opened, now);
 }
 
-SteeringDecision FlowSteering::openFlow(const FlowId &id, std::uint32_t sequence, UpstreamIndex upstream, SteeringReason reason, Time now)
+SteeringDecision FlowSteering::openFlow(const FlowId &id, const HeldSyn &syn, UpstreamIndex upstream, SteeringReason reason, Time now)
 {
     if (auto *flow = trackFlow(id, upstream, true, now)) {
         flow->synSent = true;
-        flow->firstSequence = sequence;
-        flow->nextSequence = sequence + 1;
+        flow->firstSequence = syn.sequence;
+        flow->nextSequence = syn.sequence + 1;
+        flow->lastSeen = syn.arrivals.latest;
+        flow->lastSyn = syn.arrivals.copy;
+        flow->allSynsSeen = syn.arrivals.complete;
         recordSynTarget(*flow);
         if (pools_.isLimited(flow->routeUsage)) {
             watchRequest(id, flow->routeUsage, now);
@@ -71,9 +76,12 @@
 // A running upstream responds to a SYN within milliseconds, so a retransmission means that the upstream is down or full, or that a packet
 // was lost. The SYN goes to another upstream. The client accepts the first response, and the token in its next packet shows which upstream
 // sent it. The other one may respond too: see finishHandshake().
-SteeringDecision FlowSteering::onRepeatedSyn(const FlowRoute &route, SteeredFlow &flow, Time now)
+SteeringDecision FlowSteering::onRepeatedSyn(const FlowPacket &packet, const FlowRoute &route, SteeredFlow &flow, Time now)
 {
-    flow.lastSeen = now;
+    const auto arrivals = addArrival({flow.lastSeen, flow.lastSyn, flow.allSynsSeen}, packet, now);
+    flow.lastSeen = arrivals.latest;
+    flow.lastSyn = arrivals.copy;
+    flow.allSynsSeen = arrivals.complete;
     if (!flow.synSent) {
         return repeatSyn(flow, now);
     }
@@ -99,31 +107,37 @@
     return {SteeringAction::Forward, SteeringReason::SynRepeated, flow.upstream};
 }
 
-// The token is that of an open flow, or the opening token if firstSequence is the sequence number of the flow's first packet after the SYN.
-UpstreamIndex FlowSteering::findByToken(FlowToken token, std::uint32_t firstSequence) const
+// The upstream at which the client has opened the flow, as far as its packet shows. The token of an open flow was written by a host that
+// knew.
+UpstreamIndex FlowSteering::findAccepted(const SteeredFlow &flow, const FlowPacket &packet, Time now) const
 {
-    const auto found = directory_.findByToken(token);
-    return found == kNoUpstream ? directory_.findByToken(openingToken(token, firstSequence)) : found;
+    const auto found = directory_.findByToken(packet.token);
+    if (found != kNoUpstream || !flow.synSent || directory_.tokens().isShared(packet.token)) {
+        return found;
+    }
+    const bool severalUpstreams = flow.synTargets[1] != kNoUpstream;
+    if (!showsAcceptedUpstream({flow.lastSeen, flow.lastSyn, flow.allSynsSeen}, severalUpstreams, now - packet.waited)) {
+        return kNoUpstream;
+    }
+    if (packet.token == 0) {
+        return severalUpstreams ? kNoUpstream : flow.upstream; // an upstream that shares all its tokens
+    }
+    // Packets may overtake the first one. One further on than a client sends without a response comes from a flow that went on elsewhere.
+    const bool isEarly = packet.sequence - flow.firstSequence - 1 < kMaxBytesInFlight;
+    return isEarly ? directory_.findByToken(openingToken(packet.token, flow.firstSequence + 1)) : kNoUpstream;
 }
 
-// The token identifies the upstream whose response the client accepted. It may differ from the flow's upstream if the SYN was sent to
-// several upstreams, by this host or through another one. False if the client accepted a response but the token does not tell whose: the
-// flow may then be open anywhere.
-bool FlowSteering::rebindByToken(SteeredFlow &flow, const FlowPacket &packet)
+// False if the client accepted a response to its SYN but the packet does not tell whose: the flow may then be open anywhere.
+bool FlowSteering::rebindByToken(SteeredFlow &flow, const FlowPacket &packet, Time now)
 {
-    if (packet.token != 0 && packet.token == directory_.at(flow.upstream).flowToken) {
-        return true;
+    const auto accepted = findAccepted(flow, packet, now);
+    if (accepted == kNoUpstream || !routeAllows(packet.flow.destination, accepted)) {
+        return !flow.synSent || packet.rst;
     }
-    // Packets may overtake the first one. One further on than a client sends without a response comes from a flow that went on elsewhere.
-    const bool overtook = flow.synSent && packet.sequence - flow.firstSequence - 1 < kMaxBytesInFlight;
-    const auto accepted = findByToken(packet.token, overtook ? flow.firstSequence + 1 : packet.sequence);
-    if (accepted != kNoUpstream && routeAllows(packet.flow.destination, accepted)) {
-        if (accepted != flow.upstream) {
-            rebind(flow, accepted);
-        }
-        return true;
+    if (accepted != flow.upstream) {
+        rebind(flow, accepted);
     }
-    return !flow.synSent || packet.rst || packet.token == 0;
+    return true;
 }
 
 // Further copies than a client sends are not recorded.
--- a/src/steering/flow_holding.cpp
+++ b/src/steering/flow_holding.cpp
@@ -149,7 +149,7 @@
 {
     const auto id = ++lastHeld_;
     waiting_.push(newWait(route, usage, id, packet.earlierSyns, now));
-    held_[packet.flow] = {id, packet.sequence};
+    held_[packet.flow] = {id, packet.sequence, firstArrival(packet, now)};
     heldFlows_[id] = packet.flow;
     pools_.changeWaiting(usage, 1);
     pools_.recordWaiting(route, now);
@@ -288,16 +288,16 @@
 bool FlowSteering::releaseOne(const WaitingFlow &waiting, bool endsNow, Time now)
 {
     const auto flow = heldFlows_.at(waiting.id);
-    const auto sequence = held_.at(flow).sequence;
+    const auto syn = held_.at(flow);
     const auto *route = routes_.find(flow.destination);
     SteeringDecision decision;
     if (holdsNewFlows_) {
         decision = {SteeringAction::Drop, SteeringReason::NotReady, kNoUpstream};
     } else if (route == nullptr) {
-        FlowPacket syn;
-        syn.flow = flow;
-        syn.syn = true;
-        decision = rejectUnrouted(syn, now);
+        FlowPacket packet;
+        packet.flow = flow;
+        packet.syn = true;
+        decision = rejectUnrouted(packet, now);
     } else {
         const auto request = requestFor(*route, usages_.busyShare(waiting.route), kNoUpstream);
         std::optional<UpstreamIndex> upstream;
@@ -310,8 +310,8 @@
             upstream = place(request, now);
         }
         if (upstream) {
-            decision = *upstream == kNoUpstream ? withoutUpstream(request, now)
-                                                : openFlow(flow, sequence, *upstream, SteeringReason::Released, now);
+            decision
+                = *upstream == kNoUpstream ? withoutUpstream(request, now) : openFlow(flow, syn, *upstream, SteeringReason::Released, now);
         } else if (endsNow) {
             decision = refuse(*route, waiting.route, now);
         } else {
--- a/src/steering/flow_packet.h
+++ b/src/steering/flow_packet.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "base/hash.h"
+#include "base/time.h"
 
 #include <compare>
 #include <cstddef>
@@ -32,6 +33,8 @@
     std::uint32_t acknowledged = 0;
     std::uint16_t dataBytes = 0;
     std::uint8_t earlierSyns = 0; ///< of a SYN: how many copies the client sent before, up to kMaxSyns - 1
+    Duration waited{}; ///< how long this host has kept it
+    bool allSynsHere = false; ///< of a SYN: the copies before it arrived at this host, too
     bool syn = false; ///< opens a flow
     bool fin = false; ///< the client will send no more data
     bool rst = false; ///< aborts the flow
--- a/src/steering/flow_steering.cpp
+++ b/src/steering/flow_steering.cpp
@@ -13,9 +13,9 @@
 
 // Indexed by SteeringReason.
 constexpr std::array<std::string_view, static_cast<std::size_t>(SteeringReason::Count)> kReasonNames{
-    "opened",         "opened-again",       "opened-like",      "carried",  "found-by-token",    "not-ready",     "no-route",
-    "route-unsure",   "no-upstream",        "upstreams-unsure", "no-token", "unknown-token",  "shared-token",   "foreign-token", "route-changed",
-    "upstream-ended", "upstream-evacuated", "warming-up",       "waiting",  "opened-after-wait", "no-room",
+    "opened",        "opened-again",   "opened-like",        "carried",    "found-by-token", "not-ready",         "no-route",
+    "route-unsure",  "no-upstream",    "upstreams-unsure",   "no-token",   "unknown-token",  "shared-token",      "foreign-token",
+    "route-changed", "upstream-ended", "upstream-evacuated", "warming-up", "waiting",        "opened-after-wait", "no-room",
 };
 
 // Interval between sweeps that expire flows and upstreams.
@@ -131,13 +131,14 @@
         removeFlow(packet.flow);
         return {SteeringAction::Reset, SteeringReason::RouteChanged, kNoUpstream};
     }
-    if (!flow.pinned && !rebindByToken(flow, packet)) {
+    if (!flow.pinned && !rebindByToken(flow, packet, now)) {
         return {SteeringAction::Drop, SteeringReason::UnknownToken, kNoUpstream};
     }
     if (flow.synSent) {
         finishHandshake(flow, packet, now);
     }
     // Step 2. Update the state of the flow and the liveness of its upstream.
+    const bool hasResponse = isAfter(packet.acknowledged, flow.acknowledged);
     updateFromPacket(flow, packet, now);
     const auto upstream = flow.upstream;
     const auto &target = directory_.at(upstream);
@@ -146,7 +147,8 @@
         removeFlow(packet.flow);
         return {SteeringAction::Reset, SteeringReason::UpstreamDown, upstream};
     }
-    if (packet.rst) {
+    // Step 4. In a full table a flow is remembered until its upstream has responded: its packets have the upstream's token from then on.
+    if (packet.rst || (hasResponse && flows_.size() > options_.maxFlows)) {
         removeFlow(packet.flow);
     }
     return {SteeringAction::Forward, SteeringReason::KnownFlow, upstream};
@@ -163,6 +165,8 @@
     return upstream.presence == Presence::Replaced || isUnreachable(upstream.liveness, now);
 }
 
+// Only the token of an open flow tells where it is open. The opening token of an upstream tells that it got a copy of the flow's SYN; so
+// may have another one.
 SteeringDecision FlowSteering::forwardByToken(const FlowPacket &packet, Time now)
 {
     if (packet.token == 0) {
@@ -171,7 +175,7 @@
     if (directory_.tokens().isShared(packet.token)) {
         return {SteeringAction::Drop, SteeringReason::SharedToken, kNoUpstream};
     }
-    const auto upstream = findByToken(packet.token, packet.sequence);
+    const auto upstream = directory_.findByToken(packet.token);
     if (upstream == kNoUpstream) {
         return {SteeringAction::Drop, SteeringReason::UnknownToken, kNoUpstream};
     }
@@ -216,10 +220,11 @@
     return upstream;
 }
 
-// Returns nullptr if the table is full: the flow is then forwarded by its token alone.
+// Returns nullptr if the table is full: the flow is then forwarded by its token alone. Flows that are being opened have as much room again,
+// as their packets have no such token yet.
 SteeredFlow *FlowSteering::trackFlow(const FlowId &id, UpstreamIndex upstream, bool opening, Time now)
 {
-    if (flows_.size() >= options_.maxFlows) {
+    if (flows_.size() >= (opening ? 2 : 1) * options_.maxFlows) {
         return nullptr;
     }
     auto &flow = flows_[id];
--- a/src/steering/flow_steering.h
+++ b/src/steering/flow_steering.h
@@ -10,6 +10,7 @@
 #include "steering/pool_loads.h"
 #include "steering/route_table.h"
 #include "steering/route_usage.h"
+#include "steering/syn_arrivals.h"
 #include "steering/upstream_speed.h"
 
 #include <array>
@@ -80,7 +81,7 @@
     std::uint32_t stallEpoch = 0; ///< liveness epoch in which the upstream counted this flow as stalled
     std::uint32_t zoneStallEpoch = 0; ///< liveness epoch in which the upstream's zone counted this flow as stalled
     float loadShare = 0; ///< contribution to its upstream's expected load
-    Time lastSeen; ///< arrival of the client's last packet
+    Time lastSeen; ///< arrival of the client's last packet, of the latest copy of its SYN until it is acknowledged
     std::uint32_t pendingSinceUs = 0; ///< arrival of the SYN, then of the first packet of the latest request, in microseconds modulo 2^32
     std::array<UpstreamIndex, kMaxSyns> synTargets{kNoUpstream, kNoUpstream, kNoUpstream}; ///< upstreams that got a copy of its SYN
     bool synSent = false; ///< the client has not yet acknowledged a response to its SYN
@@ -94,6 +95,8 @@
     bool unmeasured : 1 = false; ///< the response time is not measured: requests overlap, or this host paused
     bool failed : 1 = false; ///< no response came for so long that the request counts as failed; the flow counts as no load
     bool firstRequest : 1 = false; ///< its first request has no response yet, so that it counts as a whole request
+    bool allSynsSeen : 1 = false; ///< see SynArrivals::complete
+    std::uint8_t lastSyn : 2 = 0; ///< see SynArrivals::copy
 };
 
 static_assert(sizeof(SteeredFlow) <= 64, "a flow must fit in a cache line");
@@ -114,7 +117,8 @@
 struct SteeringOptions {
     AvailabilityZone zone; ///< zone of this host
     std::uint64_t seed = 1; ///< differs between hosts, so that they do not all choose the same upstream
-    std::size_t maxFlows = 100'000; ///< size limit of the flow table; flows beyond it are forwarded by their tokens only
+    /// Size limit of the flow table, without flows that are being opened. Flows beyond it are forwarded by their tokens only.
+    std::size_t maxFlows = 100'000;
     PlacementWeights weights;
     std::optional<WarmUpTolerance> warmUp; ///< nullopt: upstreams that warm up have no limit
 };
@@ -367,9 +371,11 @@
         FlowId flow;
     };
 
+    /// A SYN that waits, or is to be sent now.
     struct HeldSyn {
         std::uint64_t id = 0; ///< in waiting_
         std::uint32_t sequence = 0;
+        SynArrivals arrivals;
     };
 
     /// What decides on the refusal of a route's waiting flows.
@@ -383,7 +389,7 @@
 
     SteeringDecision decide(const FlowPacket &packet, Time now);
     SteeringDecision onSyn(const FlowPacket &packet, const FlowRoute &route, Time now);
-    SteeringDecision openFlow(const FlowId &id, std::uint32_t sequence, UpstreamIndex upstream, SteeringReason reason, Time now);
+    SteeringDecision openFlow(const FlowId &id, const HeldSyn &syn, UpstreamIndex upstream, SteeringReason reason, Time now);
     std::optional<UpstreamIndex> placeWithinShares(const FlowRoute &route, std::uint32_t usage, Time now);
     SteeringDecision holdSyn(const FlowPacket &packet, const FlowRoute &route, std::uint32_t usage, Time now);
     SteeringDecision dropUnservable(std::uint64_t added, Time now);
@@ -409,7 +415,7 @@
     void watchRequest(const FlowId &flow, std::uint32_t usage, Time since);
     void failIfOverdue(SteeredFlow &flow, Time now);
     void failStalledRequest(SteeredFlow &flow);
-    SteeringDecision onRepeatedSyn(const FlowRoute &route, SteeredFlow &flow, Time now);
+    SteeringDecision onRepeatedSyn(const FlowPacket &packet, const FlowRoute &route, SteeredFlow &flow, Time now);
     SteeringDecision repeatSyn(const SteeredFlow &flow, Time now);
     SteeringDecision forward(const FlowPacket &packet, Time now);
     SteeringDecision forwardByToken(const FlowPacket &packet, Time now);
@@ -419,8 +425,8 @@
     PlacementRequest requestFor(const FlowRoute &route, double busyShare, UpstreamIndex excluded) const;
     UpstreamIndex place(PlacementRequest request, Time now);
     SteeredFlow *trackFlow(const FlowId &id, UpstreamIndex upstream, bool opening, Time now);
-    UpstreamIndex findByToken(FlowToken token, std::uint32_t firstSequence) const;
-    bool rebindByToken(SteeredFlow &flow, const FlowPacket &packet);
+    UpstreamIndex findAccepted(const SteeredFlow &flow, const FlowPacket &packet, Time now) const;
+    bool rebindByToken(SteeredFlow &flow, const FlowPacket &packet, Time now);
     static void recordSynTarget(SteeredFlow &flow);
     void finishHandshake(SteeredFlow &flow, const FlowPacket &packet, Time now);
     void updateFromPacket(SteeredFlow &flow, const FlowPacket &packet, Time now);
