--- a/tests/steering/shared_token_test.cpp
+++ b/tests/steering/shared_token_test.cpp
@@ -45,14 +45,14 @@
 // Guards against packets of open flows that are sent to another upstream whose id has the same token.
 TEST_CASE("upstreams whose ids have the same token")
 {
-    static const auto ids = findPair();
-    REQUIRE(tokenOf(ids.first) == tokenOf(ids.second));
-    const auto first = entryOf(ids.first, 1);
-    const auto second = entryOf(ids.second, 2);
+    static const auto kIds = findPair();
+    REQUIRE(tokenOf(kIds.first) == tokenOf(kIds.second));
+    const auto first = entryOf(kIds.first, 1);
+    const auto second = entryOf(kIds.second, 2);
     const SteeringDecision unanswered{SteeringAction::Drop, SteeringReason::SharedToken, kNoUpstream};
     auto host = makeSteering();
     Client early(40001); // its flow was opened by a host that knew one of them only
-    early.acknowledge(tokenOf(ids.first));
+    early.acknowledge(tokenOf(kIds.first));
 
     SUBCASE("are not told apart by it on a host that has not seen the flow")
     {
@@ -70,11 +70,11 @@
     {
         host.directory().apply(first, at(0s));
         host.directory().apply(second, at(0s));
-        std::string left = ids.first;
+        std::string left = kIds.first;
         SUBCASE("which is the first one") { }
         SUBCASE("which is the second one")
         {
-            left = ids.second;
+            left = kIds.second;
         }
         host.directory().remove(left, {1, 5}, at(1s));
         host.tick(at(2s));
@@ -87,7 +87,7 @@
     {
         host.directory().apply(first, at(0s));
         Client client(40002);
-        CHECK(openThrough(host, client, 0) == tokenOf(ids.first));
+        CHECK(openThrough(host, client, 0) == tokenOf(kIds.first));
         host.directory().apply(second, at(1s));
         CHECK(host.onPacket(client.request(), at(1s)) == SteeringDecision{SteeringAction::Forward, SteeringReason::KnownFlow, 0});
     }
@@ -123,14 +123,14 @@
         host.directory().apply(second, at(0s));
         SUBCASE("as it is invalid")
         {
-            host.directory().remove(ids.first, {1, 5}, at(0s));
+            host.directory().remove(kIds.first, {1, 5}, at(0s));
         }
         SUBCASE("as its service does not exist yet")
         {
             auto config = configOf(2, {routeTo(kRegistry, "registry")});
             config.services = {"registry"};
             host.applyConfig(config);
-            host.directory().apply(entryOf(ids.first, 1, "gallery"), at(0s));
+            host.directory().apply(entryOf(kIds.first, 1, "gallery"), at(0s));
         }
         CHECK(host.onPacket(early.request(), at(0s)) == unanswered);
     }
@@ -138,18 +138,18 @@
     {
         host.directory().apply(first, at(0s));
         host.directory().apply(second, at(0s));
-        host.directory().remove(ids.first, {1, 5}, at(10s));
+        host.directory().remove(kIds.first, {1, 5}, at(10s));
         const auto told = takeFormerUpstreams(host, at(30s));
-        CHECK(told == std::vector<FormerUpstream>{{ids.first, 20s}});
+        CHECK(told == std::vector<FormerUpstream>{{kIds.first, 20s}});
         CHECK(invalidFormer(told).empty());
 
         auto started = makeSteering();
         started.directory().apply(second, at(29s));
-        started.directory().recordFormer(ids.first, at(30s) - told.front().ago);
+        started.directory().recordFormer(kIds.first, at(30s) - told.front().ago);
         CHECK(started.onPacket(early.request(), at(30s)) == unanswered);
         SUBCASE("and tells it further, with the time since it left")
         {
-            CHECK(takeFormerUpstreams(started, at(40s)) == std::vector<FormerUpstream>{{ids.first, 30s}});
+            CHECK(takeFormerUpstreams(started, at(40s)) == std::vector<FormerUpstream>{{kIds.first, 30s}});
             started.tick(at(10s + kTombstoneDuration));
             CHECK(takeFormerUpstreams(started, at(10s + kTombstoneDuration)).empty());
         }
