--- a/review/standin-3/seeds_case.cpp
+++ b/review/standin-3/seeds_case.cpp
@@ -1,4 +1,4 @@
-// Case 11: a host is removed as planned, and its address, which the other hosts still know as a seed, goes to an entry host of another
+// No case: a host is removed as planned, and its address, which the other hosts still know as a seed, goes to an entry host of another
 // installation.
 #include "client.h"
 #include "endpoint.h"
